Share load over servers by what they can do where gateways are many

At fault: choose() took the least cost by the gateway's own load. A limiter of 80 has one request out, sees no load anywhere, and takes a warm server each time, as 1/warmth is the greatest factor left. coldRoom() had saved up parts that nobody used, and reckoned them against the number of servers listed, drained ones too, not against what is left of the capacity.

Ruled out, by refusals and outcomes counted in a trace: quota and ceiling refusals did not rise, connects did not fail, no list came late.

Now the choice has an exponential factor of chance in large fleets, up to eight gateways none; a due part goes before the warm servers; the parts are reckoned against the warmth of all that are up, with a bound on the rise. It sits in the module, which makes the choice.

--- a/limiter.go
+++ b/limiter.go
@@ -39,6 +39,9 @@
 	// fewer than tryShare requests a server are out, over all gateways.
 	headroom = 0.25
 	tryShare = 6.0
+	// Up to so many gateways the load that each sees tells which server is best.
+	fewGateways = 8.0
+	dueCost     = 0.02 // cost of a cold server's due request, to one gateway of very many
 	// Under pressure the wait in it moves with what a request is worth for its
 	// work against the others, within these bounds.
 	leastWorth  = 0.1
@@ -66,6 +69,7 @@
 	retryShare = 0.2  // further attempts that may have cost work, for each first one,
 	retryMax   = 10.0 // saved up to this
 	coldUse    = 0.8  // share used of a cold server's likely capacity
+	coldMost   = 1.75 // ... and how much it may rise where the others are cold too
 	coldLeast  = 3.0  // requests a window to a cold server, from all, where little is sent
 )
 
@@ -82,6 +86,7 @@
 		work:  make([]float64, n), seen: make([]float64, n), usual: make([]usual, n),
 	}
 	l.mark = l.rng.Uint32() | 1
+	l.blind = max(0, 1-fewGateways/float64(s.Balancers))
 	worth := 0.0
 	for _, p := range s.Plans {
 		l.anyOut = l.anyOut || p.AtOnce > 0
@@ -377,12 +382,18 @@
 func (l *Limiter) choose(now float64, r *request) (*server, float64) {
 	var best *server
 	var bestCost float64
+	l.warm, l.up = 0, 0
+	for _, s := range l.order {
+		if s.info.Phase == Up {
+			l.warm, l.up = l.warm+l.warmth(now, s), l.up+1
+		}
+	}
 	for pass := 0; pass < 2 && best == nil; pass++ {
 		for _, s := range l.order {
 			if !l.usable(now, s, r, pass > 0) {
 				continue
 			}
-			cost := s.slowness(now) / l.warmth(now, s) * (s.load() + 1) * (1 + 0.05*l.rng.Float64())
+			cost := s.slowness(now) * l.coldness(now, s) * (s.load() + 1) * l.scatter()
 			if s.info.Zone != l.cfg.Zone {
 				cost *= 1 + crossWeight*l.cfg.CrossPrice
 			}
@@ -410,6 +421,27 @@
 	return best, 0
 }
 
+// scatter is the factor of chance on the cost of a server. One of few gateways sees
+// in its own load most of what a server has, and takes the least; one of many sees
+// next to nothing of it, and all would take the same few: with an exponential factor
+// each server gets requests in proportion to what it can do.
+func (l *Limiter) scatter() float64 {
+	if l.blind > 0 {
+		return math.Pow(l.rng.ExpFloat64(), l.blind)
+	}
+	return 1 + 0.05*l.rng.Float64()
+}
+
+// coldness is the factor of a server's warmth on its cost. One of many gateways has
+// saved up long for its request to a cold server, which is now due: left until the
+// warm ones have more in hand, it would never be sent, and all the load go to them.
+func (l *Limiter) coldness(now float64, s *server) float64 {
+	if w := l.warmth(now, s); w < 1 {
+		return math.Pow(w, l.blind-1) * math.Pow(dueCost, l.blind)
+	}
+	return 1
+}
+
 // usable tells whether a request may go to a server now. With lax, servers
 // that are only under suspicion are taken too.
 func (l *Limiter) usable(now float64, s *server, r *request, lax bool) bool {
@@ -603,16 +635,18 @@
 }
 
 // coldRoom keeps this gateway to its part of what a cold server can do: its
-// warmth times what the gateway sends to a server in the mean, saved up for one
-// request at a time from a random start. The parts of any number of gateways add
-// up to the warmth's share of what a warm server gets, with no talk; where hardly
-// anything is sent, to coldLeast requests a window.
+// warmth times what the gateway sends for each warm server's worth of capacity, saved
+// up for one request at a time from a random start. The parts of any number of
+// gateways add up to the warmth's share of what a warm server gets, with no talk;
+// where hardly anything is sent, to coldLeast requests a window. Where most are cold,
+// a part grows by coldMost at the most: all that was sent may have been all that the
+// servers could do when warm.
 func (l *Limiter) coldRoom(now float64, s *server) bool {
 	w := l.warmth(now, s)
 	if w >= 1 {
 		return true
 	}
-	rate := max(coldUse*w*l.recent(now)/float64(len(l.order))*2/illMs,
+	rate := max(coldUse*w*l.recent(now)/max(l.warm, l.up/coldMost)*2/illMs,
 		coldLeast/float64(l.cfg.Balancers)/max(1, l.cfg.Rules.FallMs))
 	s.cold, s.coldAt = min(1, max(0, s.cold)+rate*(now-s.coldAt)), now
 	return s.cold >= 1
--- a/scale_test.go
+++ b/scale_test.go
@@ -382,3 +382,48 @@
 		l.Handle(now+50, Alarm{Handle: "tick"})
 	}
 }
+
+// Six in ten servers of a large fleet are replaced: the cold ones get at once what
+// they can bear, and the warm ones are not left with all of the load. Fails where
+// each gateway takes the best server that it sees, as all see the same.
+func TestReplacedServersShareLoad(t *testing.T) {
+	const n, servers, cold = 80, 60, 36
+	cfg := testSettings()
+	cfg.Caps.Peers = false
+	cfg.Rules.ColdShare, cfg.Rules.ColdMs = 0.3, 16000
+	f := fleet(servers)
+	c := newCrowd(t, cfg, n, f)
+	rng := rand.New(rand.NewPCG(3, 3))
+	run := func(requests int) { // 400 a second over all gateways
+		clear(c.sent)
+		for range requests {
+			c.submit(rng.IntN(n), Submit{Plan: 3, Customer: rng.Uint64N(99), Spread: n})
+			c.now += 2.5
+		}
+	}
+	run(4000)
+	for i := range cold {
+		f[i].ReadyAt = c.now
+	}
+	for i := range n {
+		c.event(i, Endpoints{Scope: Complete, Servers: f})
+	}
+	const requests = 2000 // five seconds; the mean warmth is 0.41
+	run(requests)
+	got := 0
+	for i := range cold {
+		got += c.sent[f[i].ID]
+		if part := float64(c.sent[f[i].ID]); part > 2*0.41*requests/servers {
+			t.Errorf("cold server %d was sent %g", i, part)
+		}
+	}
+	fair := requests * cold * 0.41 / (cold*0.41 + servers - cold)
+	if float64(got) < 0.6*fair || float64(got) > 1.1*fair {
+		t.Errorf("%d of %d went to the cold servers, which can bear %.0f", got, requests, fair)
+	}
+	for i := cold; i < servers; i++ {
+		if mean := float64(requests-got) / (servers - cold); float64(c.sent[f[i].ID]) > 1.6*mean {
+			t.Errorf("warm server %d was sent %d, the mean one %.0f", i, c.sent[f[i].ID], mean)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -45,6 +45,8 @@
 	retries        float64 // further attempts saved up
 	inflight       int     // attempts out
 	sends, sendsAt float64 // attempts in the last illMs / 2 or so
+	blind          float64 // share of a server's load that this gateway can't see
+	warm, up       float64 // what the listed servers can do, in warm ones, and their number
 	failed         float64 // share of answers that fail, of late
 	eventAt        float64
 	wokeAt         float64 // when this gateway last went on after standing still
