Use a balanced subset of the servers where gateways are many

At fault: choose() looked at all servers.

Deterministic subsetting in the module, which chooses: rounds of gateways deal the servers out among their members, each round in its own hashed order, so each server has equally many gateways. Parts are a power of two, so that a list that grows or shrinks across a border only joins or splits them. The rest of the list serves when no server of the subset is usable.

--- a/limiter.go
+++ b/limiter.go
@@ -40,7 +40,8 @@
 	headroom = 0.25
 	tryShare = 6.0
 	// Up to so many gateways the load that each sees tells which server is best.
-	fewGateways = 8.0
+	fewGateways = 8
+	subsetLeast = 12   // servers that a gateway of many uses at least
 	dueCost     = 0.02 // cost of a cold server's due request, to one gateway of very many
 	// Under pressure the wait in it moves with what a request is worth for its
 	// work against the others, within these bounds.
@@ -384,13 +385,13 @@
 	var bestCost float64
 	l.warm, l.up = 0, 0
 	for _, s := range l.order {
-		if s.info.Phase == Up {
+		if s.near && s.info.Phase == Up {
 			l.warm, l.up = l.warm+l.warmth(now, s), l.up+1
 		}
 	}
-	for pass := 0; pass < 2 && best == nil; pass++ {
+	for pass := 0; pass < 3 && best == nil; pass++ { // of the subset, of all, and the suspect
 		for _, s := range l.order {
-			if !l.usable(now, s, r, pass > 0) {
+			if pass == 0 && !s.near || !l.usable(now, s, r, pass > 1) {
 				continue
 			}
 			cost := s.slowness(now) * l.coldness(now, s) * (s.load() + 1) * l.scatter()
@@ -685,6 +686,31 @@
 		}
 	}
 	slices.SortFunc(l.order, func(a, b *server) int { return cmp.Compare(a.info.ID, b.info.ID) })
+	l.subset()
+}
+
+// subset chooses the servers that this gateway normally uses. One of many gateways
+// that used all would meet each so seldom that every other request needed a new
+// connection, and would learn nothing of any. Each round of gateways deals all
+// servers out among its members, in an order of its own, so that every server has
+// equally many gateways, and few change when the list does. The number of parts is
+// a power of two: a part of a coarser division holds the finer ones.
+func (l *Limiter) subset() {
+	var up []*server
+	for _, s := range l.order {
+		if s.near = false; s.info.Phase == Up {
+			up = append(up, s)
+		}
+	}
+	parts := 1
+	for 2*parts*subsetLeast <= len(up) && 2*parts*fewGateways <= l.cfg.Balancers {
+		parts *= 2
+	}
+	salt := mix(uint64(l.cfg.Position/parts) + 1)
+	slices.SortStableFunc(up, func(a, b *server) int { return cmp.Compare(mix(a.info.ID^salt), mix(b.info.ID^salt)) })
+	for k, s := range up {
+		s.near = k*parts/len(up) == l.cfg.Position%parts
+	}
 }
 
 // ---- Talking to peers ----
--- a/scale_test.go
+++ b/scale_test.go
@@ -427,3 +427,70 @@
 		}
 	}
 }
+
+// A gateway of many uses few servers, every server has equally many gateways, and
+// a change of the list moves little. Fails where each chooses among all.
+func TestSubsets(t *testing.T) {
+	const n, servers = 80, 60
+	cfg := testSettings()
+	f := fleet(servers)
+	c := newCrowd(t, cfg, n, f)
+	pairs := func() (of map[[2]uint64]bool) {
+		of = map[[2]uint64]bool{}
+		for i, l := range c.limiters {
+			for id, s := range l.servers {
+				if s.near {
+					of[[2]uint64{uint64(i), id}] = true
+				}
+			}
+		}
+		return of
+	}
+	before := pairs()
+	at := map[uint64]int{}
+	for p := range before {
+		at[p[1]]++
+	}
+	for _, s := range f {
+		if at[s.ID] < n/4-4 || at[s.ID] > n/4+4 {
+			t.Errorf("server %d has %d gateways of %d", s.ID, at[s.ID], n)
+		}
+	}
+	used := map[[2]int]bool{}
+	for k := range 4000 {
+		l := c.limiters[k%n]
+		for _, a := range append([]Action(nil), l.Handle(c.now, Submit{ID: fmt.Sprint(k), ExpiresMs: 1500, Plan: 3,
+			Customer: 1, Spread: n, Units: 1})...) {
+			if a, ok := a.(PassOn); ok {
+				used[[2]int{k % n, int(a.Server)}] = true
+				l.Handle(c.now, Outcome{ID: a.ID, Server: a.Server, Result: Pass, SpentMs: 20, Done: true})
+			}
+		}
+		c.now += 2.5
+	}
+	if len(used) == 0 || len(used) > n*servers/4 {
+		t.Errorf("%d gateways use %d connections to %d servers", n, len(used), servers)
+	}
+	gone := f[7]
+	gone.Phase = Removed
+	for i := range n {
+		c.event(i, Endpoints{Scope: Partial, Servers: []ServerInfo{gone}})
+	}
+	after, moved := pairs(), 0
+	for p := range after {
+		if !before[p] {
+			moved++
+		}
+	}
+	if moved > 2*n { // the one that is gone, and a place at each edge
+		t.Errorf("%d of %d pairs are new after one server went", moved, len(after))
+	}
+	// With its subset out of reach a gateway goes on with the others.
+	l := c.limiters[0]
+	for _, s := range l.servers {
+		s.down = s.near
+	}
+	if !c.submit(0, Submit{Plan: 3, Customer: 1, Spread: n}) {
+		t.Error("a gateway whose subset is down turned a request away")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -57,6 +57,7 @@
 
 type server struct {
 	info         ServerInfo
+	near         bool // in this gateway's subset
 	inflight     int
 	spent, had   float64 // decayed sums: times taken against the typical, and answers
 	statAt       float64
