Keepers give back ceiling shares that the store has regained

At fault: refill() and allows() hold the ceiling in equal shares. With sets of 10 to 11 gateways a share is 4 units and 2.3 a second, and the gateway that a customer's requests mostly come through needs twice that, while the refill of the others overflows.

Now shares stay equal and whole, and each keeper, who hears all spending, gives back what the half of the store in its care has regained beyond what the shares have. It grants no more than shares lack less what the store lacks, both as heard, so the sum of shares never exceeds the store, whatever is lost; TestCeilingFollowsDemand checks that with losses and restarts. A new join() brings the refill up to date first: a record made by a peer's word counted the time before its first request twice.

--- a/limiter.go
+++ b/limiter.go
@@ -18,6 +18,7 @@
 	heardMost  = 20000   // customers known, past which a peer's word makes no new ones
 	directMost = 8       // of more other gateways than this, keepers hear alone
 	keepers    = 2       // of a customer in a large set: one and a stand-in
+	grantLeast = 0.3     // of a full share of the ceiling: less is not worth a grant
 
 	// Share of the messages a gateway takes in that its peers use together; the
 	// rest covers jitter. The pause between two levels told of a customer rises from
@@ -178,8 +179,70 @@
 	p, s := l.cfg.Plans[c.plan], (now-c.at)/1000
 	c.at = now
 	c.balance = min(p.Burst, c.balance+s*p.Rate)
-	if n := float64(c.spread); n > 0 {
-		c.share = min(p.CeilingBurst/n, c.share+s*p.CeilingRate/n)
+	if c.spread > 0 {
+		part := c.part()
+		for k := range c.shares {
+			c.shares[k] = min(p.CeilingBurst*part, c.shares[k]+s*p.CeilingRate*part)
+		}
+		c.lack = max(0, c.lack-s*p.CeilingRate/keepers)
+	}
+}
+
+// part is the share of the ceiling that each of this gateway's shares holds.
+func (c *customer) part() float64 { return 1 / float64(c.spread) / keepers }
+
+// share is what this gateway may pass of a customer's ceiling.
+func (c *customer) share() (sum float64) {
+	for _, s := range c.shares {
+		sum += s
+	}
+	return sum
+}
+
+// grant gives the gateways of a large set back what they have spent of their shares
+// of the ceiling, while the store itself has refilled. Equal shares alone starve the
+// gateway that most of a customer's requests come through, while the refill of the
+// others overflows. Each keeper has one half of the ceiling in its care: what that
+// half lacks, as far as heard, is lacking in the gateways' shares too, and no more
+// than the difference is granted, so that the sum of all shares never exceeds the
+// store, whatever is lost or late. What is not heard of yet lacks in both alike.
+func (l *Limiter) grant(now float64, c *customer) {
+	p := l.cfg.Plans[c.plan]
+	if p.CeilingRate <= 0 {
+		return
+	}
+	s, full, free := (now-c.grantAt)/1000, p.CeilingBurst*c.part(), -c.lack
+	c.grantAt = now
+	for i := range c.views {
+		v := &c.views[i]
+		v.short = max(0, v.short-s*p.CeilingRate*c.part())
+		free += v.short
+	}
+	for i := range c.views {
+		v := &c.views[i]
+		steps := math.Floor(min(v.short, free, full) * unitScale)
+		if steps < 1 || v.short < grantLeast*full {
+			continue
+		}
+		v.short, free = v.short-steps/unitScale, free-steps/unitScale
+		if e := (peerEntry{customer: c.id, plan: uint64(c.plan), level: int64(steps)}); v.peer == l.cfg.Position {
+			c.granted(c.rank, full, e)
+		} else {
+			l.peers[v.peer].grants = append(l.peers[v.peer].grants, e)
+		}
+	}
+}
+
+// granted adds a grant of the keeper with a rank to its share here.
+func (c *customer) granted(rank int, full float64, e peerEntry) {
+	c.shares[rank] = min(full, c.shares[rank]+float64(e.level)/unitScale)
+}
+
+// lacks notes what a gateway has spent, for the half of the ceiling kept here.
+func (l *Limiter) lacks(c *customer, i int, units float64) {
+	if c.keeper && l.cfg.Plans[c.plan].CeilingRate > 0 {
+		c.lack += units / keepers
+		c.view(i).short += units / keepers
 	}
 }
 
@@ -195,8 +258,9 @@
 	// The ceiling is held by escrow: each gateway of the set owns an equal
 	// part of its store and rate, so that the sum of all never exceeds it,
 	// whatever is lost or late. A starting gateway begins with nothing.
-	if p.CeilingRate > 0 && c.share < units {
-		wait = max(wait, (units-c.share)/p.CeilingRate*float64(c.spread)*1000)
+	// In a large set keepers give back early what the store has regained.
+	if share := c.share(); p.CeilingRate > 0 && share < units {
+		wait = max(wait, (units-share)/p.CeilingRate*float64(c.spread)*1000)
 	}
 	if p.AtOnce > 0 && c.outAll() >= p.AtOnce {
 		wait = max(wait, tickMs)
@@ -207,7 +271,11 @@
 // spend takes units that this gateway lets through. Only the first attempt
 // of a request spends.
 func (l *Limiter) spend(now float64, c *customer, units float64) {
-	c.balance, c.share, c.spent = c.balance-units, c.share-units, c.spent+units
+	c.balance, c.spent = c.balance-units, c.spent+units
+	for k := range c.shares {
+		c.shares[k] -= units / keepers
+	}
+	l.lacks(c, l.cfg.Position, units)
 	c.spentAt, c.lastUnits = now, units
 	l.stir(c)
 }
@@ -722,8 +790,11 @@
 // counts twice, as a level replaces what was known.
 func (l *Limiter) join(now float64, c *customer, spread, first int) {
 	n, p := l.cfg.Balancers, l.cfg.Plans[c.plan]
+	l.refill(now, c) // what the shares start with covers the time until now
 	c.spread, c.first = max(1, min(spread, n)), ((first%n)+n)%n
-	c.share = min(p.CeilingBurst, p.CeilingRate*(now-l.startedAt)/1000) / float64(c.spread)
+	for k := range c.shares {
+		c.shares[k] = min(p.CeilingBurst, p.CeilingRate*(now-l.startedAt)/1000) * c.part()
+	}
 	from, step, count := 0, 1, c.spread
 	if c.large() {
 		h := mix(c.id)
@@ -760,6 +831,13 @@
 	l.cameIn = 0
 	l.pace = 1000 * paceMsgs / l.cfg.PeerInPerS * math.Exp(paceSteep*max(0, l.inRate-0.5))
 	l.keep(now)
+	for i := range l.peers {
+		if p := &l.peers[i]; len(p.grants) > 0 {
+			l.tellSet(peerMsg{flags: flagNews | flagGrant, entries: p.grants}, i, 1)
+			l.credit--
+			p.grants = p.grants[:0]
+		}
+	}
 	slices.SortStableFunc(l.dirty, func(a, b *customer) int { return cmp.Compare(b.press(), a.press()) })
 	for _, c := range l.dirty {
 		for _, i := range c.tells {
@@ -796,6 +874,7 @@
 	for _, c := range l.kept {
 		l.refill(now, c)
 		l.release(c)
+		l.grant(now, c)
 		c.fade(now)
 		p, pause := l.cfg.Plans[c.plan], l.pace*l.patience[c.plan]
 		believed := min(p.Burst, c.told+p.Rate*(now-c.toldAt)/1000)
@@ -840,7 +919,7 @@
 		p := l.cfg.Plans[c.plan]
 		return c.out == 0 && !c.dirty && now-c.seenAt >= forgetMs && now-l.startedAt > forgetMs &&
 			c.balance >= p.Burst && (c.spread == 0 || p.CeilingRate <= 0 ||
-			c.share*float64(c.spread) >= p.CeilingBurst*(1-1e-9))
+			c.share()*float64(c.spread) >= p.CeilingBurst*(1-1e-9))
 	}
 	l.kept = slices.DeleteFunc(l.kept, idle)
 	l.listed = slices.DeleteFunc(l.listed, func(c *customer) bool {
@@ -903,6 +982,11 @@
 			}
 		}
 		return
+	case m.flags&flagGrant != 0:
+		for _, en := range m.entries {
+			l.takeGrant(now, e.From, en)
+		}
+		return
 	case m.flags&flagNews != 0:
 		l.cameIn++
 		if m.flags&flagLevels != 0 {
@@ -958,6 +1042,21 @@
 	c.margin = min(burst, float64(min(en.margin, math.MaxInt32))/unitScale)
 }
 
+// takeGrant takes in what a keeper gives back, and no stranger can.
+func (l *Limiter) takeGrant(now float64, from int, en peerEntry) {
+	c := l.customers[en.customer]
+	if c == nil || !c.large() || en.level < 0 {
+		return
+	}
+	if rank := slices.Index(c.tells, from); rank >= 0 {
+		if c.keeper { // it tells the other one alone
+			rank = keepers - 1 - c.rank
+		}
+		l.refill(now, c)
+		c.granted(rank, l.cfg.Plans[c.plan].CeilingBurst*c.part(), en)
+	}
+}
+
 // knows tells whether a peer's word on a customer is taken in.
 func (l *Limiter) knows(id uint64) bool {
 	return len(l.customers) < heardMost || l.customers[id] != nil
@@ -996,6 +1095,7 @@
 		c.fade(now)
 		c.flow += min(units, l.cfg.Plans[c.plan].Burst)
 		c.seenAt = now
+		l.lacks(c, from, units)
 	}
 	v.heard = en.spent
 	if c.keeper && older && !c.seeded { // a keeper that just started begins with what the teller believes
--- a/peercodec.go
+++ b/peercodec.go
@@ -19,7 +19,8 @@
 	flagOut                // entries carry the attempts out
 	flagNews               // a keeper tells levels: customer, plan and level alone
 	flagIll                // with flagNews: servers and classes that fail
-	allFlags   = flagAsking | flagLevels | flagOut | flagNews | flagIll
+	flagGrant              // with flagNews: a keeper grants a part of the ceiling, as the level
+	allFlags   = flagAsking | flagLevels | flagOut | flagNews | flagIll | flagGrant
 )
 
 // unitScale is the number of steps in which a unit is told.
--- a/scale_test.go
+++ b/scale_test.go
@@ -494,3 +494,53 @@
 		t.Error("a gateway whose subset is down turned a request away")
 	}
 }
+
+// A customer of eleven gateways has most of its requests come through one, which
+// needs more of the ceiling than an equal share. Fails without grants. Whatever is
+// lost, and with gateways starting anew, all together never pass the ceiling.
+func TestCeilingFollowsDemand(t *testing.T) {
+	const n = 11
+	cfg := testSettings()
+	cfg.Plans[1] = Plan{Rate: 12, Burst: 22, CeilingRate: 25, CeilingBurst: 46, Price: 1}
+	for _, p := range []struct {
+		demand, skew, lost float64
+		restarts           bool
+		least              float64 // share that passes
+	}{{8, 0.7, 0.1, false, 0.85}, {8, 0.7, 1, false, 0}, {400, 0.2, 0.3, false, 0}, {60, 0.5, 0.5, true, 0}, {400, 0.9, 0.9, true, 0}} {
+		c := newCrowd(t, cfg, n, fleet(4))
+		rng := rand.New(rand.NewPCG(4, 4))
+		c.lose = func(int, int) bool { return rng.Float64() < p.lost }
+		c.now += 10000
+		c.ticks(tickMs)
+		store, at, asked, passed := 46.0, c.now, 0.0, 0.0
+		for end := c.now + 20000; c.now < end; {
+			c.ticks(tickMs)
+			for range int(p.demand*tickMs/1000/1.5 + rng.Float64()) {
+				i, units := 1+rng.IntN(n-1), float64(1+rng.IntN(2))
+				if rng.Float64() < p.skew {
+					i = 3
+				}
+				asked += units
+				if c.submit(i, Submit{Plan: 1, Customer: 1, Spread: n, Units: units}) {
+					store, at = min(46, store+(c.now-at)*25/1000)-units, c.now
+					passed += units
+				}
+				if store < -1e-6 {
+					t.Fatalf("%+v: the ceiling is passed by %g", p, -store)
+				}
+			}
+			if p.restarts && rng.IntN(10) == 0 {
+				cfg.Balancers, cfg.Position = n, rng.IntN(n)
+				l, err := New(cfg, rng.Uint64())
+				if err != nil {
+					t.Fatal(err)
+				}
+				c.limiters[cfg.Position] = l
+				c.event(cfg.Position, Endpoints{Scope: Persisted, Servers: fleet(4)})
+			}
+		}
+		if passed < p.least*asked {
+			t.Errorf("%+v: %.0f of %.0f units passed", p, passed, asked)
+		}
+	}
+}
--- a/state.go
+++ b/state.go
@@ -105,8 +105,8 @@
 	spread  int // 0 until one of its requests came here
 	first   int
 	balance float64
-	share   float64 // this gateway's part of the ceiling's store
-	at      float64 // when both were last refilled
+	shares  [keepers]float64 // this gateway's part of the ceiling's store, by the keeper that may grant it
+	at      float64          // when all were last refilled
 	seenAt  float64
 	spent   float64 // units passed here
 	out     int
@@ -119,9 +119,11 @@
 	flowAt    float64
 	tells     []int // gateways told of what passes here
 	dirty     bool
-	countsOut bool // the plan limits attempts out
-	keeper    bool // this gateway tells the set the level ...
-	rank      int  // ... in this order
+	countsOut bool    // the plan limits attempts out
+	keeper    bool    // this gateway tells the set the level ...
+	rank      int     // ... in this order
+	lack      float64 // what the half of the ceiling in its care is short of full, as far as heard
+	grantAt   float64
 	told      float64
 	toldAt    float64
 	pressed   int     // ticks for which the set has believed in more
@@ -139,7 +141,8 @@
 	told    uint64 // told to the peer
 	before  uint64 // what it was told before that
 	toldOut int
-	again   bool // told once, to be told again
+	again   bool    // told once, to be told again
+	short   float64 // what its share of the ceiling lacks, to a keeper
 }
 
 type peer struct {
@@ -148,6 +151,7 @@
 	levelled   bool // has told us its levels
 	answeredAt float64
 	due        []*customer // to be told with this tick
+	grants     []peerEntry
 }
 
 // fit holds moving averages of load k and time y of answers.
