Pace the calls to discovery by the number of limiters

A trace of the calls showed 31 of 80 first calls answered within 2 s, and from then on none: 50 to 130 calls a second came, half turned away at once, half after exactly 2 s in the line.

At fault: watch() calls at once at the start and retries after 50 ms, then up to 1 s, each limiter as if it were alone. Discovery works some 15 calls a second, in turn, also those that have waited too long, so the line never clears. Ruled out: the list itself (what came was sound) and the module (it had no event to act on).

Other failures retry as before. A limiter that knows no servers still calls at once.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -7,12 +7,14 @@
 	"fmt"
 	"hash/fnv"
 	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
 	"slices"
 	"time"
 
 	"example.org/silverscale"
+	"example.org/silverscale/internal/backoff"
 )
 
 const (
@@ -24,6 +26,14 @@
 	// An answer without news before its time is followed by the next call after
 	// this pause: short of the 200 ms after which a watch is over, but no spinning.
 	idlePause = 50 * time.Millisecond
+
+	// Where discovery must be asked, all limiters together first call it once in
+	// callEvery, and one that it turns away as it is overloaded pauses so that all
+	// would call once in callEvery/2 or, if that goes on, in crowdEvery: discovery
+	// works also on calls that have waited too long, and so past its capacity answers
+	// none at all until most stay away.
+	callEvery  = 60 * time.Millisecond
+	crowdEvery = 150 * time.Millisecond
 )
 
 // serverList is an answer of discovery.
@@ -135,13 +145,53 @@
 	have bool
 }
 
+// errOverloaded tells that discovery turned a call away.
+var errOverloaded = errors.New("overloaded")
+
+// pacing is when one limiter of many calls discovery.
+type pacing struct {
+	spread          time.Duration    // the first call comes within this
+	failed, crowded *backoff.Backoff // after no answer, after errOverloaded
+}
+
+// newPacing returns the pacing of a limiter. One alone, or with a few, calls at once
+// and often: only many are a load.
+func newPacing(cfg *Config) *pacing {
+	rng := rand.New(rand.NewPCG(cfg.Seed, 0xd15c))
+	limiters := time.Duration(cfg.Settings.Module.Balancers)
+	p := &pacing{
+		failed:  backoff.New(retryFirst, retryMost, rng),
+		crowded: backoff.New(max(retryFirst, limiters*callEvery/2), max(retryMost, limiters*crowdEvery), rng),
+	}
+	if cfg.Settings.Module.AskMembers {
+		p.spread = backoff.Spread(limiters*callEvery, rng)
+	}
+	return p
+}
+
+// after returns how long to stay away from discovery after a call.
+func (p *pacing) after(err error) time.Duration {
+	switch {
+	case err == nil:
+		p.failed.Reset()
+		p.crowded.Reset()
+		return 0
+	case errors.Is(err, errOverloaded):
+		return p.crowded.Next()
+	}
+	return p.failed.Next()
+}
+
 // watch follows discovery at an address until the context ends. What is known
 // stays in use while discovery is silent, down or talks nonsense.
 func (n *Node) watch(ctx context.Context, addr string, index listIndex) {
 	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1, MaxConnsPerHost: 2,
 		IdleConnTimeout: time.Minute}}
 	defer client.CloseIdleConnections()
-	pause := retryFirst
+	pace := newPacing(n.cfg)
+	if index.have { // else there is nothing to serve with until the list comes
+		sleep(ctx, pace.spread)
+	}
 	for ctx.Err() == nil {
 		// The whole list comes at once, or the call is made anew.
 		path, most := "/v1/servers", watchSlack
@@ -156,11 +206,10 @@
 			return
 		case err != nil:
 			n.discoveryLog.warn("discovery does not answer", "err", err)
-			sleep(ctx, pause)
-			pause = min(2*pause, retryMost)
+			sleep(ctx, pace.after(err))
 			continue
 		}
-		pause = retryFirst
+		pace.after(nil)
 		if l.Whole {
 			n.take(silverscale.Complete, l)
 		} else if len(l.Hosts) > 0 {
@@ -186,7 +235,11 @@
 		return l, err
 	}
 	defer resp.Body.Close()
-	if resp.StatusCode != http.StatusOK {
+	switch resp.StatusCode {
+	case http.StatusOK:
+	case http.StatusServiceUnavailable, http.StatusTooManyRequests:
+		return l, fmt.Errorf("status %s: %w", resp.Status, errOverloaded)
+	default:
 		return l, fmt.Errorf("status %s", resp.Status)
 	}
 	if err := json.NewDecoder(io.LimitReader(resp.Body, maxListSize)).Decode(&l); err != nil {
--- a/internal/node/discovery_test.go
+++ b/internal/node/discovery_test.go
@@ -110,3 +110,66 @@
 		}
 	})
 }
+
+// Eighty limiters start at once and call a discovery that works off 15 calls a second
+// in turn, turns a call away once it has waited 2 s or when its line is full, and also
+// works on those that nobody waits for. All get their list. Fails where each retries
+// as if it were alone: the line is then full of calls that come too late for good.
+// The clock is the test's own.
+func TestCrowdGetsItsList(t *testing.T) {
+	t.Parallel()
+	const limiters, work, patience, line = 80, time.Second / 15, 2 * time.Second, 40
+	cfg := &Config{}
+	cfg.Settings.Module.Balancers, cfg.Settings.Module.AskMembers = limiters, true
+	var pace []*pacing
+	next := make([]time.Duration, limiters) // the next call of each; below 0 with its list
+	for i := range limiters {
+		cfg.Seed = uint64(i)
+		pace = append(pace, newPacing(cfg))
+		next[i] = pace[i].spread
+	}
+	var free time.Duration // when the service has worked off its line
+	calls, last := 0, time.Duration(0)
+	for left := limiters; left > 0; calls++ {
+		i := -1
+		for k, at := range next {
+			if at >= 0 && (i < 0 || at < next[i]) {
+				i = k
+			}
+		}
+		now := next[i]
+		if now > 20*time.Second {
+			t.Fatalf("after %v and %d calls %d have no list", now, calls, left)
+		}
+		wait := max(0, free-now)
+		switch {
+		case wait > line*work: // turned away at once
+			next[i] = now + pace[i].after(errOverloaded)
+		case wait > patience: // its turn comes too late
+			free = now + wait + work
+			next[i] = now + patience + pace[i].after(errOverloaded)
+		default:
+			free = now + wait + work
+			next[i], last = -1, max(last, free)
+			left--
+		}
+	}
+	if calls > 3*limiters {
+		t.Errorf("%d calls for %d limiters", calls, limiters)
+	}
+	t.Logf("%d calls, the last list at %v", calls, last)
+}
+
+// A limiter with few others calls at once, and again soon after it was turned away.
+func TestFewCallAtOnce(t *testing.T) {
+	t.Parallel()
+	cfg := &Config{Seed: 1}
+	cfg.Settings.Module.Balancers, cfg.Settings.Module.AskMembers = 3, true
+	p := newPacing(cfg)
+	if p.spread > 250*time.Millisecond {
+		t.Errorf("the first call comes after %v", p.spread)
+	}
+	if pause := p.after(errOverloaded); pause > 250*time.Millisecond {
+		t.Errorf("a pause of %v", pause)
+	}
+}
