Tell levels of cheap plans more seldom, to leave room for the dear ones

Seen: each limiter got 30 levels a second, near all it takes in, and 17 to 28 % of all messages were dropped.

At fault: New() lets a plan wait four times as long as the mean one at most. By its own formula `start` (rate 0.84, burst 4, and an overrun costs nothing) comes to 15, and each of its levels goes to 40 to 80 limiters, so it took about half of the messages.

The bound is in the module's pacing of levels, which is by what telling earns.

--- a/limiter.go
+++ b/limiter.go
@@ -26,9 +26,12 @@
 	gossipShare = 0.9
 	paceMsgs    = 10.0
 	paceSteep   = 4.0
-	aheadMs     = 500.0 // a keeper looks this far ahead for a low level
-	lowShare    = 0.4   // of the burst: below it a level is low
-	marginGain  = 2.0   // margin, against what flows between two levels told
+	// With dozens of gateways a set, a level told to all of them of a plan that is worth
+	// little takes the room of those that are worth most: it may wait this much longer.
+	patienceMost = 12.0
+	aheadMs      = 500.0 // a keeper looks this far ahead for a low level
+	lowShare     = 0.4   // of the burst: below it a level is low
+	marginGain   = 2.0   // margin, against what flows between two levels told
 
 	speedMs    = 2000.0 // time over which a server's speed is averaged
 	workWeight = 0.005  // least weight of one answer in typical work and fit: some 200 answers
@@ -96,7 +99,8 @@
 	}
 	for _, p := range s.Plans { // telling earns by worth, and where bursts are short
 		rate := max(1e-9, p.Rate)
-		l.patience = append(l.patience, max(0.1, min(4, p.Burst/rate/4*worth/max(1e-9, rate*p.Price))))
+		pause := p.Burst / rate / 4 * worth / max(1e-9, rate*p.Price)
+		l.patience = append(l.patience, max(0.1, min(patienceMost, pause)))
 	}
 	return l, nil
 }
@@ -225,7 +229,8 @@
 			continue
 		}
 		v.short, free = v.short-steps/unitScale, free-steps/unitScale
-		if e := (peerEntry{customer: c.id, plan: uint64(c.plan), level: int64(steps)}); v.peer == l.cfg.Position {
+		e := peerEntry{customer: c.id, plan: uint64(c.plan), level: int64(steps)}
+		if v.peer == l.cfg.Position {
 			c.granted(c.rank, full, e)
 		} else {
 			l.peers[v.peer].grants = append(l.peers[v.peer].grants, e)
@@ -775,7 +780,9 @@
 		parts *= 2
 	}
 	salt := mix(uint64(l.cfg.Position/parts) + 1)
-	slices.SortStableFunc(up, func(a, b *server) int { return cmp.Compare(mix(a.info.ID^salt), mix(b.info.ID^salt)) })
+	slices.SortStableFunc(up, func(a, b *server) int {
+		return cmp.Compare(mix(a.info.ID^salt), mix(b.info.ID^salt))
+	})
 	for k, s := range up {
 		s.near = k*parts/len(up) == l.cfg.Position%parts
 	}
--- a/scale_test.go
+++ b/scale_test.go
@@ -544,3 +544,36 @@
 		}
 	}
 }
+
+// Levels of a plan that is worth little are told seldom, however far its customers
+// ask beyond their quotas: each is told to dozens of gateways, which take in only so
+// many messages. Fails where it may wait but four times as long as the mean plan.
+func TestCheapLevelsLeaveRoom(t *testing.T) {
+	const n = 60
+	cfg := testSettings()
+	cfg.Plans = []Plan{{Rate: 0.84, Burst: 4, Price: 0.8}, {Rate: 3, Burst: 11, Price: 1.2}, {Rate: 12, Burst: 22, Price: 1.8}}
+	c := newCrowd(t, cfg, n, fleet(4))
+	told := map[uint64]int{}
+	c.lose = func(int, int) bool { return false }
+	for step := range 400 { // twenty seconds; each asks for some four times its quota
+		for plan, each := range []int{6, 2, 1} {
+			if step%each == 0 {
+				c.submit((step*7+plan)%n, Submit{Customer: uint64(plan), Plan: plan, Spread: n, Units: 1 + float64(plan)})
+			}
+		}
+		c.now += tickMs
+		for i, l := range c.limiters {
+			for _, a := range append([]Action(nil), l.Handle(c.now, Alarm{Handle: "tick"})...) {
+				if a, ok := a.(Tell); ok {
+					if m, _ := decodePeer(a.Data); m.flags == flagNews {
+						told[m.entries[0].plan]++
+					}
+					c.event(a.To, PeerMessage{From: i, Data: a.Data})
+				}
+			}
+		}
+	}
+	if told[0] == 0 || told[0] > 10*n || told[0]*2 > told[1] {
+		t.Errorf("levels told, by plan from the cheapest: %v", told)
+	}
+}
