--- a/internal/node/reload_test.go
+++ b/internal/node/reload_test.go
@@ -45,6 +45,8 @@
 	r.rewrite(configText(next.addr))
 	r.node.Reload()
 	until(t, "the old watch ends", func() bool { return r.discovery.open.Load() == 0 })
+	// Until the new list is taken, a request still goes to the old server, which answers none.
+	until(t, "the new list is watched", func() bool { return next.open.Load() == 1 })
 	r.served("b")
 	next.mu.Lock()
 	if next.first != "/v1/servers" {
