Start with full ceilings where the whole fleet has just begun

At fault: join() begins each share with nothing, as a gateway that starts can't know what was spent just before.

Messages of levels and reports tell how long their sender has run. Where all near peers have answered, four at the least, and none has run for longer, the fleet has just begun, and the stores are full. One older peer, or one that does not answer, leaves it as it was. It sits where the answers are taken in.

--- a/limiter.go
+++ b/limiter.go
@@ -14,6 +14,8 @@
 const (
 	tickMs     = 50.0    // period of the tick: telling peers, housekeeping
 	askMs      = 2000.0  // a starting gateway asks for levels this long
+	elderMs    = 1000.0  // a peer that started so much earlier is older
+	freshLeast = 4       // answers without one that is older: the fleet has just begun
 	forgetMs   = 15000.0 // an idle customer with full stores is forgotten after this
 	heardMost  = 20000   // customers known, past which a peer's word makes no new ones
 	directMost = 8       // of more other gateways than this, keepers hear alone
@@ -799,8 +801,11 @@
 	n, p := l.cfg.Balancers, l.cfg.Plans[c.plan]
 	l.refill(now, c) // what the shares start with covers the time until now
 	c.spread, c.first = max(1, min(spread, n)), ((first%n)+n)%n
+	if c.begun = p.CeilingBurst; !l.fresh {
+		c.begun = min(p.CeilingBurst, p.CeilingRate*(now-l.startedAt)/1000)
+	}
 	for k := range c.shares {
-		c.shares[k] = min(p.CeilingBurst, p.CeilingRate*(now-l.startedAt)/1000) * c.part()
+		c.shares[k] = c.begun * c.part()
 	}
 	from, step, count := 0, 1, c.spread
 	if c.large() {
@@ -999,6 +1004,7 @@
 		if m.flags&flagLevels != 0 {
 			p.levelled = true
 			l.briefed = l.briefed || l.apart(e.From) == 1
+			l.weighAge(now, &m)
 		}
 		for _, en := range m.entries {
 			l.levelOf(now, e.From, &m, en)
@@ -1009,6 +1015,7 @@
 	case m.mark != p.mark:
 		p.old, p.mark = p.mark, m.mark
 	}
+	l.weighAge(now, &m)
 	if m.flags&flagAsking != 0 && now >= p.answeredAt+4*tickMs {
 		p.answeredAt = now
 		l.answer(now, e.From)
@@ -1064,6 +1071,36 @@
 	}
 }
 
+// weighAge notes how old a peer is. One that starts does not know what was spent just
+// before, and so begins with none of a ceiling's store. But where no peer is older and
+// all near have answered, the whole fleet has just begun, and stores are full.
+func (l *Limiter) weighAge(now float64, m *peerMsg) {
+	l.elders = l.elders || float64(m.ageMs) > now-l.startedAt+elderMs
+	if l.fresh || l.elders || now-l.startedAt > askMs {
+		return
+	}
+	answered := 0
+	for i := range l.peers {
+		if l.asks(now, i) {
+			return
+		} else if l.peers[i].levelled {
+			answered++
+		}
+	}
+	if answered < freshLeast {
+		return
+	}
+	l.fresh = true
+	for _, c := range l.listed {
+		if burst := l.cfg.Plans[c.plan].CeilingBurst; c.spread > 0 {
+			l.refill(now, c)
+			for k := range c.shares {
+				c.shares[k] = min(burst*c.part(), c.shares[k]+(burst-c.begun)*c.part())
+			}
+		}
+	}
+}
+
 // knows tells whether a peer's word on a customer is taken in.
 func (l *Limiter) knows(id uint64) bool {
 	return len(l.customers) < heardMost || l.customers[id] != nil
--- a/scale_test.go
+++ b/scale_test.go
@@ -577,3 +577,37 @@
 		t.Errorf("levels told, by plan from the cheapest: %v", told)
 	}
 }
+
+// A fleet that has just begun has full ceilings as soon as its gateways have heard of
+// each other; one gateway that starts among older ones has none, nor one whose peers
+// are silent. Fails where every start begins with nothing.
+func TestCeilingOfAFreshFleet(t *testing.T) {
+	const n = 20
+	cfg := testSettings()
+	ask := func(c *crowd, i int) bool { // three units are most of a full share
+		return c.submit(i, Submit{Plan: 1, Customer: 1, Spread: 10, Units: 3})
+	}
+	c := newCrowd(t, cfg, n, fleet(4))
+	c.ticks(8 * tickMs)
+	if !ask(c, 1) {
+		t.Error("a fleet that has just begun has none of a ceiling's burst")
+	}
+	c.now += 60000
+	cfg.Balancers, cfg.Position = n, 2
+	l, err := New(cfg, 5)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.limiters[2] = l
+	c.event(2, Endpoints{Scope: Persisted, Servers: fleet(4)})
+	c.ticks(8 * tickMs)
+	if ask(c, 2) {
+		t.Error("a gateway that started among older ones has a part of a ceiling's burst")
+	}
+	c = newCrowd(t, cfg, n, fleet(4))
+	c.lose = func(int, int) bool { return true }
+	c.ticks(8 * tickMs)
+	if ask(c, 1) {
+		t.Error("a gateway that heard nothing has a part of a ceiling's burst")
+	}
+}
--- a/state.go
+++ b/state.go
@@ -28,6 +28,8 @@
 	peers     []peer
 	forgot    bool      // records have been dropped
 	briefed   bool      // a neighbour has told the levels it knows
+	elders    bool      // a peer has run for longer
+	fresh     bool      // all gateways have just begun
 	turn      int       // the peer that is told first
 	credit    float64   // messages that may be sent
 	cameIn    float64   // messages since the last tick
@@ -106,6 +108,7 @@
 	first   int
 	balance float64
 	shares  [keepers]float64 // this gateway's part of the ceiling's store, by the keeper that may grant it
+	begun   float64          // what the ceiling's store was taken to hold at first
 	at      float64          // when all were last refilled
 	seenAt  float64
 	spent   float64 // units passed here
