Let servers in use cost more to one limiter of many

At fault: choose() weighs a server's own load as (load + 1), which the chance in the choice of a large fleet washes out.

A server in use now costs up to 16 times as much to one of very many, nothing more up to eight limiters.

--- a/limiter.go
+++ b/limiter.go
@@ -48,6 +48,7 @@
 	// Up to so many gateways the load that each sees tells which server is best.
 	fewGateways = 8
 	subsetLeast = 12   // servers that a gateway of many uses at least
+	busyCost    = 15.0  // added to the cost of a server in use, to one of very many
 	dueCost     = 0.02 // cost of a cold server's due request, to one gateway of very many
 	// Under pressure the wait in it moves with what a request is worth for its
 	// work against the others, within these bounds.
@@ -470,6 +471,9 @@
 				continue
 			}
 			cost := s.slowness(now) * l.coldness(now, s) * (s.load() + 1) * l.scatter()
+			if s.inflight > 0 { // a further request at once needs a connection of its own
+				cost *= 1 + busyCost*l.blind
+			}
 			if s.info.Zone != l.cfg.Zone {
 				cost *= 1 + crossWeight*l.cfg.CrossPrice
 			}
--- a/scale_test.go
+++ b/scale_test.go
@@ -611,3 +611,36 @@
 		t.Error("a gateway that heard nothing has a part of a ceiling's burst")
 	}
 }
+
+// One of many gateways spreads what it has out at once over different servers: a
+// further request at a busy one waits there, and needs a connection of its own.
+// Fails where chance alone decides.
+func TestBusyServersWait(t *testing.T) {
+	cfg := testSettings()
+	cfg.Balancers = 80
+	twice := 0
+	for seed := range uint64(50) {
+		l, err := New(cfg, seed)
+		if err != nil {
+			t.Fatal(err)
+		}
+		l.Handle(1000, Endpoints{Scope: Persisted, Servers: fleet(12)})
+		used := map[uint64]bool{}
+		for k := range 6 {
+			for _, a := range l.Handle(1000, Submit{ID: fmt.Sprint(k), ExpiresMs: 1500, Plan: 3, Spread: 1, Units: 1}) {
+				if a, ok := a.(PassOn); ok {
+					if used[a.Server] {
+						twice++
+					}
+					used[a.Server] = true
+				}
+			}
+		}
+		if len(used) < 2 {
+			t.Errorf("seed %d: only %d servers were used", seed, len(used))
+		}
+	}
+	if twice > 50*6/15 {
+		t.Errorf("%d of %d requests went to a server in use, with six idle ones left", twice, 50*6)
+	}
+}
