--- a/limiter.go
+++ b/limiter.go
@@ -48,7 +48,7 @@
 	// Up to so many gateways the load that each sees tells which server is best.
 	fewGateways = 8
 	subsetLeast = 12   // servers that a gateway of many uses at least
-	busyCost    = 15.0  // added to the cost of a server in use, to one of very many
+	busyCost    = 15.0 // added to the cost of a server in use, to one of very many
 	dueCost     = 0.02 // cost of a cold server's due request, to one gateway of very many
 	// Under pressure the wait in it moves with what a request is worth for its
 	// work against the others, within these bounds.
