Give cold servers a larger part where limiters are many

The trace shows 520 requests out, three times the usual, 52 % answered in time and 75 requests a second sent to the cold servers, 0.8 of what they can do at the very least, while the warm ones were past what they can do.

At fault: coldUse in coldRoom(). The fifth left free is room for few gateways whose choice overshoots; among many, parts add up evenly and a limiter uses its own late, as it has a request for it only now and then. Ruled out: health (10 servers kept off over all limiters), lists (on time), quotas (as before).

Parts now come to full use by blindness, as chance in the choice does.

--- a/limiter.go
+++ b/limiter.go
@@ -77,6 +77,7 @@
 	retryShare = 0.2  // further attempts that may have cost work, for each first one,
 	retryMax   = 10.0 // saved up to this
 	coldUse    = 0.8  // share used of a cold server's likely capacity
+	coldMore   = 0.25 // more of it, to one of very many: no one can top up what others leave
 	coldMost   = 1.75 // ... and how much it may rise where the others are cold too
 	coldLeast  = 3.0  // requests a window to a cold server, from all, where little is sent
 )
@@ -726,7 +727,7 @@
 	if w >= 1 {
 		return true
 	}
-	rate := max(coldUse*w*l.recent(now)/max(l.warm, l.up/coldMost)*2/illMs,
+	rate := max((coldUse+coldMore*l.blind)*w*l.recent(now)/max(l.warm, l.up/coldMost)*2/illMs,
 		coldLeast/float64(l.cfg.Balancers)/max(1, l.cfg.Rules.FallMs))
 	s.cold, s.coldAt = min(1, max(0, s.cold)+rate*(now-s.coldAt)), now
 	return s.cold >= 1
--- a/scale_test.go
+++ b/scale_test.go
@@ -418,7 +418,7 @@
 		}
 	}
 	fair := requests * cold * 0.41 / (cold*0.41 + servers - cold)
-	if float64(got) < 0.6*fair || float64(got) > 1.1*fair {
+	if float64(got) < 0.8*fair || float64(got) > 1.1*fair {
 		t.Errorf("%d of %d went to the cold servers, which can bear %.0f", got, requests, fair)
 	}
 	for i := cold; i < servers; i++ {
