--- /dev/null
+++ b/agreement/node.go
@@ -0,0 +1,448 @@
+package agreement
+
+import (
+	"errors"
+	"math/rand/v2"
+	"slices"
+)
+
+// Config are a member's settings, in ticks of the host.
+type Config struct {
+	ID             ID
+	ElectionTicks  int // least time without a leader before an election; up to twice as long
+	HeartbeatTicks int
+	Seed           uint64
+}
+
+// mostEntries bounds the entries of one message.
+const mostEntries = 32
+
+// The errors of Propose and Change.
+var (
+	ErrNotLeader = errors.New("agreement: not the leader")
+	ErrPending   = errors.New("agreement: a change of members is not through yet")
+	ErrStep      = errors.New("agreement: a change may add or remove one voter at most")
+)
+
+// Node is one member. It is not safe for concurrent use.
+type Node struct {
+	cfg Config
+	rng *rand.Rand
+
+	hard    HardState
+	snap    Snapshot
+	entries []Entry // behind the snapshot
+	members []Member
+
+	role      Role
+	leader    ID
+	commit    uint64
+	applied   uint64 // handed to the host for applying
+	stored    uint64 // index of the last entry handed to the host for storing
+	hardDirty bool
+	installed *Snapshot // to be stored and applied
+	out       []Message
+
+	elapsed int // ticks since the last sign of a leader, or as leader of the last quorum check
+	timeout int
+	beat    int
+	votes   map[ID]bool
+	prevote bool
+	force   bool
+
+	peers map[ID]*progress // as leader
+	round uint64           // of heartbeats
+}
+
+// progress is what a leader knows of a member.
+type progress struct {
+	match, next uint64
+	round       uint64 // the latest that it has answered
+	active      bool   // heard of since the last quorum check
+	paused      bool   // a probe or snapshot is out; one message a heartbeat
+	quiet       int    // ticks since it was heard of
+}
+
+// New returns a member with what its disk holds.
+func New(cfg Config, s Stored) *Node {
+	n := &Node{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))), hard: s.Hard, snap: s.Snapshot, entries: s.Entries}
+	n.commit, n.applied, n.stored = s.Snapshot.Index, s.Snapshot.Index, n.last()
+	n.findMembers()
+	n.follow(0)
+	return n
+}
+
+// ---- What the host may ask ----
+
+// Role returns what the member is; Leader whom it follows, 0 if nobody.
+func (n *Node) Role() Role { return n.role }
+
+// Leader returns the leader that this member follows, 0 if none is known.
+func (n *Node) Leader() ID { return n.leader }
+
+// Term returns the current term.
+func (n *Node) Term() uint64 { return n.hard.Term }
+
+// Members returns the members as of the end of the log. It is not to be changed.
+func (n *Node) Members() []Member { return n.members }
+
+// Commit returns the index up to which the log is agreed.
+func (n *Node) Commit() uint64 { return n.commit }
+
+// Applied returns the index up to which entries were handed out for applying.
+func (n *Node) Applied() uint64 { return n.applied }
+
+// Quiet returns for how many ticks a leader has not heard of a member.
+func (n *Node) Quiet(id ID) int {
+	if p := n.peers[id]; p != nil {
+		return p.quiet
+	}
+	return 0
+}
+
+// CaughtUp tells a leader that a member has all that is agreed.
+func (n *Node) CaughtUp(id ID) bool {
+	p := n.peers[id]
+	return p != nil && p.match >= n.commit
+}
+
+// Serves tells that this member leads and has agreed on something in its term:
+// what it has applied is all that was ever acknowledged.
+func (n *Node) Serves() bool {
+	return n.role == Leader && n.term(n.commit) == n.hard.Term
+}
+
+// NextRound returns the round that a majority must answer to confirm that
+// this member still leads now; Confirmed the latest such round.
+func (n *Node) NextRound() uint64 { return n.round + 1 }
+
+// Confirmed returns the latest round of heartbeats that a majority has answered.
+func (n *Node) Confirmed() uint64 {
+	return n.quorum(func(p *progress) uint64 { return p.round }, n.round)
+}
+
+// ---- The log ----
+
+func (n *Node) last() uint64 { return n.snap.Index + uint64(len(n.entries)) }
+
+// term is the term of an entry; 0 where it is not known.
+func (n *Node) term(index uint64) uint64 {
+	switch {
+	case index == n.snap.Index:
+		return n.snap.Term
+	case index > n.snap.Index && index <= n.last():
+		return n.entries[index-n.snap.Index-1].Term
+	}
+	return 0
+}
+
+func (n *Node) after(index uint64, most int) []Entry {
+	if index >= n.last() || index < n.snap.Index {
+		return nil
+	}
+	es := n.entries[index-n.snap.Index:]
+	return slices.Clip(es[:min(most, len(es))])
+}
+
+// findMembers takes the members of the last entry that names them: a change
+// holds from where it stands in the log, agreed or not.
+func (n *Node) findMembers() {
+	n.members = n.snap.Members
+	for i := len(n.entries) - 1; i >= 0; i-- {
+		if n.entries[i].Members != nil {
+			n.members = n.entries[i].Members
+			return
+		}
+	}
+}
+
+// write puts entries behind an index, in place of what stands there.
+func (n *Node) write(after uint64, es []Entry) {
+	keep := n.entries[:after-n.snap.Index]
+	n.entries = append(slices.Clip(keep), es...)
+	n.stored = min(n.stored, after)
+	n.findMembers()
+}
+
+// Compact drops entries up to an applied index, for which data stands.
+func (n *Node) Compact(index uint64, data []byte) *Snapshot {
+	if index <= n.snap.Index || index > n.applied || index > n.stored {
+		return nil
+	}
+	s := Snapshot{Index: index, Term: n.term(index), Members: n.snap.Members, Data: data}
+	for _, e := range n.entries[:index-n.snap.Index] {
+		if e.Members != nil {
+			s.Members = e.Members
+		}
+	}
+	n.entries = slices.Clone(n.entries[index-n.snap.Index:])
+	n.snap = s
+	return &s
+}
+
+// ---- Time ----
+
+// Tick tells that one tick has passed.
+func (n *Node) Tick() {
+	n.elapsed++
+	if n.role != Leader {
+		if n.elapsed >= n.timeout && n.votes1() {
+			n.campaign(true)
+		}
+		return
+	}
+	for _, p := range n.peers {
+		p.quiet++
+	}
+	if n.elapsed >= n.cfg.ElectionTicks {
+		n.elapsed = 0
+		heard := n.quorum(func(p *progress) uint64 {
+			if p.active {
+				return 1
+			}
+			return 0
+		}, 1)
+		for _, p := range n.peers {
+			p.active = false
+		}
+		if heard == 0 { // alone: whoever has the majority elects another
+			n.follow(0)
+			return
+		}
+	}
+	if n.beat++; n.beat >= n.cfg.HeartbeatTicks {
+		n.Beat()
+	}
+}
+
+// Beat makes a leader send a round of heartbeats now.
+func (n *Node) Beat() {
+	if n.role != Leader {
+		return
+	}
+	n.beat = 0
+	n.round++
+	for _, m := range n.members {
+		if p := n.peers[m.ID]; p != nil {
+			p.paused = false
+			n.append(m.ID, p, true)
+		}
+	}
+}
+
+// votes1 tells whether this member is a voter.
+func (n *Node) votes1() bool {
+	m := find(n.members, n.cfg.ID)
+	return m != nil && m.Voter
+}
+
+// ---- Elections ----
+
+func (n *Node) follow(leader ID) {
+	n.role, n.leader, n.votes, n.peers = Follower, leader, nil, nil
+	n.elapsed, n.timeout = 0, n.cfg.ElectionTicks+n.rng.IntN(max(1, n.cfg.ElectionTicks))
+}
+
+func (n *Node) newTerm(term uint64, leader ID) {
+	if term > n.hard.Term {
+		n.hard, n.hardDirty = HardState{Term: term}, true
+	}
+	n.follow(leader)
+}
+
+func (n *Node) campaign(pre bool) {
+	n.role, n.leader, n.votes, n.prevote = Candidate, 0, map[ID]bool{n.cfg.ID: true}, pre
+	n.elapsed, n.timeout = 0, n.cfg.ElectionTicks+n.rng.IntN(max(1, n.cfg.ElectionTicks))
+	kind, term := PreVote, n.hard.Term+1
+	if !pre {
+		kind = Vote
+		n.hard, n.hardDirty = HardState{Term: term, Vote: n.cfg.ID}, true
+	}
+	for _, m := range n.members {
+		if m.Voter && m.ID != n.cfg.ID {
+			n.send(Message{Kind: kind, To: m.ID, Term: term, Index: n.last(), LogTerm: n.term(n.last()), Force: n.force})
+		}
+	}
+	n.count()
+}
+
+// count ends an election once a majority has answered alike.
+func (n *Node) count() {
+	yes, no, all := 0, 0, voters(n.members)
+	for _, m := range n.members {
+		if v, ok := n.votes[m.ID]; ok && m.Voter {
+			if v {
+				yes++
+			} else {
+				no++
+			}
+		}
+	}
+	switch {
+	case 2*yes > all && n.prevote:
+		n.campaign(false)
+	case 2*yes > all:
+		n.lead()
+	case 2*no >= all && all > 0 && no > 0:
+		n.follow(0)
+	}
+}
+
+func (n *Node) lead() {
+	n.role, n.leader, n.votes, n.force, n.elapsed = Leader, n.cfg.ID, nil, false, 0
+	n.peers = map[ID]*progress{}
+	n.track()
+	n.write(n.last(), []Entry{{Index: n.last() + 1, Term: n.hard.Term}}) // so that earlier terms can be agreed on
+	n.advance()
+	n.Beat()
+}
+
+// track makes progress records for the members, and drops those of others.
+func (n *Node) track() {
+	for id := range n.peers {
+		if find(n.members, id) == nil {
+			delete(n.peers, id)
+		}
+	}
+	for _, m := range n.members {
+		if m.ID != n.cfg.ID && n.peers[m.ID] == nil {
+			n.peers[m.ID] = &progress{next: n.last() + 1, active: true}
+		}
+	}
+}
+
+// quorum is the highest figure that a majority of the voters reaches.
+func (n *Node) quorum(of func(*progress) uint64, own uint64) uint64 {
+	var vs []uint64
+	for _, m := range n.members {
+		switch {
+		case !m.Voter:
+		case m.ID == n.cfg.ID:
+			vs = append(vs, own)
+		case n.peers[m.ID] == nil:
+			vs = append(vs, 0)
+		default:
+			vs = append(vs, of(n.peers[m.ID]))
+		}
+	}
+	if len(vs) == 0 {
+		return 0
+	}
+	slices.Sort(vs)
+	return vs[(len(vs)-1)/2]
+}
+
+// Transfer makes a leader that is about to end call an election at the member
+// that knows most.
+func (n *Node) Transfer() {
+	if n.role != Leader {
+		return
+	}
+	var best ID
+	for _, m := range n.members {
+		if p := n.peers[m.ID]; m.Voter && p != nil && p.quiet < n.cfg.ElectionTicks &&
+			(best == 0 || p.match > n.peers[best].match) {
+			best = m.ID
+		}
+	}
+	if best != 0 && n.peers[best].match == n.last() {
+		n.send(Message{Kind: Campaign, To: best, Term: n.hard.Term})
+	}
+}
+
+// Resign makes a member give up leadership, as when its disk fails.
+func (n *Node) Resign() {
+	if n.role == Leader {
+		n.follow(0)
+	}
+}
+
+// ---- What a leader is asked for ----
+
+// Propose adds an entry and returns its place.
+func (n *Node) Propose(data []byte) (index, term uint64, err error) {
+	if n.role != Leader {
+		return 0, 0, ErrNotLeader
+	}
+	return n.last() + 1, n.hard.Term, n.add(Entry{Data: data})
+}
+
+// Change proposes new members, of which one voter at most is added or removed.
+func (n *Node) Change(members []Member) error {
+	if n.role != Leader {
+		return ErrNotLeader
+	}
+	if !n.Serves() { // the leader's own term must be agreed on before
+		return ErrPending
+	}
+	for _, e := range n.entries {
+		if e.Index > n.commit && e.Members != nil {
+			return ErrPending
+		}
+	}
+	steps := 0
+	for _, m := range members {
+		if o := find(n.members, m.ID); m.Voter && (o == nil || !o.Voter) {
+			steps++
+		}
+	}
+	for _, o := range n.members {
+		if m := find(members, o.ID); o.Voter && (m == nil || !m.Voter) {
+			steps++
+		}
+	}
+	if steps > 1 || voters(members) == 0 {
+		return ErrStep
+	}
+	return n.add(Entry{Members: members})
+}
+
+func (n *Node) add(e Entry) error {
+	e.Index, e.Term = n.last()+1, n.hard.Term
+	n.write(n.last(), []Entry{e})
+	n.track()
+	n.advance()
+	for id, p := range n.peers {
+		n.append(id, p, false)
+	}
+	return nil
+}
+
+// append sends a member what it lacks. A heartbeat goes out in any case.
+func (n *Node) append(id ID, p *progress, heartbeat bool) {
+	if p.paused {
+		return
+	}
+	if p.next <= n.snap.Index {
+		s := n.snap
+		n.send(Message{Kind: Install, To: id, Term: n.hard.Term, Round: n.round, Snapshot: &s})
+		p.paused = true
+		return
+	}
+	es := n.after(p.next-1, mostEntries)
+	if len(es) == 0 && !heartbeat {
+		return
+	}
+	n.send(Message{Kind: Append, To: id, Term: n.hard.Term, Index: p.next - 1, LogTerm: n.term(p.next - 1),
+		Commit: n.commit, Round: n.round, Entries: es})
+	if len(es) > 0 {
+		if p.match+1 < p.next { // in step: send on without waiting
+			p.next += uint64(len(es))
+		}
+		p.paused = p.match+1 >= p.next
+	}
+}
+
+// advance agrees on what a majority has stored, if it is of this term.
+func (n *Node) advance() {
+	if n.role != Leader {
+		return
+	}
+	if at := n.quorum(func(p *progress) uint64 { return p.match }, n.stored); at > n.commit && n.term(at) == n.hard.Term {
+		n.commit = at
+		if !n.votes1() { // removed by its own change
+			n.Transfer()
+			n.follow(0)
+		}
+	}
+}
--- /dev/null
+++ b/agreement/types.go
@@ -0,0 +1,129 @@
+// Package agreement is the replicated log of the control plane: a Raft state
+// machine (Ongaro and Ousterhout, "In Search of an Understandable Consensus
+// Algorithm") with pre-vote, check-quorum, snapshots, leadership transfer and
+// membership changes of one voter at a time.
+//
+// A [Node] has no input, output, clock or goroutine. The host calls Tick at a
+// steady pace, Step for each message, and then carries out [Node.Ready]: it
+// stores first, sends and applies afterwards, and calls Advance. Equal seeds
+// and equal calls give equal results.
+package agreement
+
+import "slices"
+
+// ID names a member. One is made for each empty disk and never used again.
+type ID uint64
+
+// Member is a process that holds the log.
+type Member struct {
+	ID    ID     `cbor:"1,keyasint"`
+	Addr  string `cbor:"2,keyasint"` // where it is reached, for the transport
+	Voter bool   `cbor:"3,keyasint"` // counts toward majorities; else it only learns
+}
+
+// Entry is one place of the log.
+type Entry struct {
+	Index   uint64   `cbor:"1,keyasint"`
+	Term    uint64   `cbor:"2,keyasint"`
+	Data    []byte   `cbor:"3,keyasint,omitempty"`
+	Members []Member `cbor:"4,keyasint,omitempty"` // a change of members: all of them from here on
+}
+
+// Snapshot stands for the log up to and with Index.
+type Snapshot struct {
+	Index   uint64   `cbor:"1,keyasint"`
+	Term    uint64   `cbor:"2,keyasint"`
+	Members []Member `cbor:"3,keyasint"`
+	Data    []byte   `cbor:"4,keyasint,omitempty"`
+}
+
+// HardState must be on disk before anything is sent that follows from it.
+type HardState struct {
+	Term uint64 `cbor:"1,keyasint"`
+	Vote ID     `cbor:"2,keyasint"`
+}
+
+// Stored is what a host has on disk.
+type Stored struct {
+	Hard     HardState
+	Snapshot Snapshot
+	Entries  []Entry // those behind the snapshot, without a gap
+}
+
+// Kind is the kind of a message.
+type Kind uint8
+
+// The kinds of messages.
+const (
+	PreVote Kind = iota + 1
+	PreVoteReply
+	Vote
+	VoteReply
+	Append // also the heartbeat
+	AppendReply
+	Install // a snapshot
+	Campaign
+)
+
+// Message goes from one member to another. It may be lost, late or doubled.
+type Message struct {
+	Kind     Kind      `cbor:"1,keyasint"`
+	From     ID        `cbor:"2,keyasint"`
+	To       ID        `cbor:"3,keyasint"`
+	Term     uint64    `cbor:"4,keyasint"`
+	Index    uint64    `cbor:"5,keyasint,omitempty"` // before the entries; in replies: matched, or the last of the log
+	LogTerm  uint64    `cbor:"6,keyasint,omitempty"`
+	Commit   uint64    `cbor:"7,keyasint,omitempty"`
+	Round    uint64    `cbor:"8,keyasint,omitempty"` // of heartbeats, echoed in replies
+	Reject   bool      `cbor:"9,keyasint,omitempty"`
+	Force    bool      `cbor:"10,keyasint,omitempty"` // a vote asked for by the leader itself
+	Entries  []Entry   `cbor:"11,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"`
+}
+
+// Role is what a member is at the moment.
+type Role uint8
+
+// The roles.
+const (
+	Follower Role = iota
+	Candidate
+	Leader
+)
+
+func (r Role) String() string { return [...]string{"follower", "candidate", "leader"}[r] }
+
+// Ready is what the host has to do, in this order: store Hard, Snapshot and
+// Entries (which replace all from their first index on) and sync them; send
+// Messages; apply Snapshot and then Committed.
+type Ready struct {
+	Hard      *HardState
+	Snapshot  *Snapshot
+	Entries   []Entry
+	Messages  []Message
+	Committed []Entry
+}
+
+// Empty tells that there is nothing to do.
+func (r *Ready) Empty() bool {
+	return r.Hard == nil && r.Snapshot == nil && len(r.Entries) == 0 && len(r.Messages) == 0 && len(r.Committed) == 0
+}
+
+// MustSync tells that something has to be on disk before the messages go out.
+func (r *Ready) MustSync() bool { return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 }
+
+func voters(ms []Member) (n int) {
+	for _, m := range ms {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+func find(ms []Member, id ID) *Member {
+	if i := slices.IndexFunc(ms, func(m Member) bool { return m.ID == id }); i >= 0 {
+		return &ms[i]
+	}
+	return nil
+}
--- a/internal/node/ages.go
+++ b/internal/connpool/ages.go
@@ -1,4 +1,4 @@
-package node
+package connpool
 
 import (
 	"math"
--- a/internal/node/ages_test.go
+++ b/internal/connpool/ages_test.go
@@ -1,11 +1,8 @@
-package node
+package connpool
 
 import (
-	"context"
 	"testing"
 	"time"
-
-	"example.org/silverscale"
 )
 
 // Where connections break that were idle for longer than some time, such ones are
@@ -51,47 +48,3 @@
 		t.Errorf("limit %v", a.limit)
 	}
 }
-
-// Over sockets: a server that ends kept connections at the next request, when they
-// were idle for some time, gets requests on new ones.
-func TestStaleConnections(t *testing.T) {
-	t.Parallel()
-	srv := newRawServer(t)
-	p := newPool(8, patience, patience)
-	h := &host{id: 1, dial: srv.addr, up: true}
-	p.hosts[1] = h
-	call := &call{method: "GET", target: "/api", host: "x", requestID: "r"}
-	for i := 0; ; i++ {
-		if i > 20 {
-			t.Fatal("old connections are used for ever")
-		}
-		c, err := p.connect(context.Background(), h)
-		if err != nil {
-			t.Fatal(err)
-		}
-		s := srv.accept()
-		go func() {
-			s.request()
-			s.answer("200 OK", "")
-		}()
-		if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.Pass || end != reusable {
-			t.Fatalf("result %v", rep.result)
-		}
-		p.put(c)
-		c.idleAt = time.Now().Add(-300 * time.Millisecond)
-		if p.take(h) == nil {
-			if i < 2 {
-				t.Errorf("given up after %d breaks", i)
-			}
-			return
-		}
-		go func() {
-			s.request()
-			s.Close()
-		}()
-		if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.Cut || end != dead {
-			t.Fatalf("result %v", rep.result)
-		}
-		c.close()
-	}
-}
--- /dev/null
+++ b/internal/connpool/connpool.go
@@ -0,0 +1,352 @@
+// Package connpool keeps connections to servers, each of which carries one
+// request at a time. It sends nothing by itself: what becomes of a request on a
+// connection that breaks is its caller's to decide.
+package connpool
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+const sweepEvery = 500 * time.Millisecond
+
+// ErrTooLong tells of an answer that goes past the limit that [Conn.Expect] set.
+var ErrTooLong = errors.New("the answer is too long")
+
+// Pool keeps the connections to servers. It is not http.Transport, which sends
+// a request again by itself when a kept-alive connection breaks: a second copy.
+type Pool[K comparable] struct {
+	Budget      int // most connections
+	connTimeout time.Duration
+	IdleFor     time.Duration // idle connections are closed after this
+
+	mu    sync.Mutex
+	hosts map[K]*Host[K]
+	open  int // connections open or coming up
+	ages  ages
+}
+
+// Host is one process of a server at one address.
+type Host[K comparable] struct {
+	ID     K
+	Dial   string
+	bornMs float64
+	up     bool       // wants new requests
+	taken  bool       // another server stands at its address
+	idle   []*Conn[K] // the latest used last
+}
+
+// Conn is a connection to a server that carries one request at a time.
+type Conn[K comparable] struct {
+	net.Conn
+	pool   *Pool[K]
+	Host   *Host[K]
+	from   *answerReader
+	In     *bufio.Reader // reads from it
+	Used   bool          // an answer has come on it
+	IdleAt time.Time
+	once   sync.Once
+}
+
+// answerReader is what a conn reads answers from.
+type answerReader struct {
+	from io.Reader
+	left int   // bytes that may still come for this answer
+	died error // how the connection ended
+}
+
+// Read guards against an answer, or heads that announce one, without end, and
+// tells the end of a connection from an answer that can't be read.
+func (a *answerReader) Read(b []byte) (int, error) {
+	if a.left <= 0 {
+		return 0, ErrTooLong
+	}
+	n, err := a.from.Read(b[:min(len(b), a.left)])
+	a.left -= n
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		a.died = err
+	}
+	return n, err
+}
+
+func New[K comparable](budget int, connTimeout, idleFor time.Duration) *Pool[K] {
+	return &Pool[K]{Budget: budget, connTimeout: connTimeout, IdleFor: idleFor, hosts: map[K]*Host[K]{},
+		ages: ages{at: time.Now(), limit: ageForever}}
+}
+
+// Update takes in what the list says of a server: where it is, which start of it
+// that is, and whether it is to get new requests. It tells whether that is news.
+// Connections to an earlier process or address are not used again.
+func (p *Pool[K]) Update(id K, dial string, bornMs float64, up bool) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	if h == nil || h.Dial != dial || h.bornMs != bornMs {
+		p.drop(h)
+		// One that still stands at this address is gone: guards against sending to the
+		// new server under the old one's name, on its connections or pending connects.
+		for _, o := range p.hosts {
+			if o.ID != id && o.Dial == dial {
+				o.taken = true
+				p.drop(o)
+			}
+		}
+		p.hosts[id] = &Host[K]{ID: id, Dial: dial, bornMs: bornMs, up: up}
+		return true
+	}
+	up = up && !h.taken
+	news := h.up != up
+	if h.up = up; !up {
+		p.closeIdle(h)
+	}
+	return news
+}
+
+// Remove drops a server that is gone and tells whether it was known.
+func (p *Pool[K]) Remove(id K) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	h := p.hosts[id]
+	p.drop(h)
+	delete(p.hosts, id)
+	return h != nil
+}
+
+// KeepOnly drops the servers that a whole list does not name.
+func (p *Pool[K]) KeepOnly(listed map[K]bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for id, h := range p.hosts {
+		if !listed[id] {
+			p.drop(h)
+			delete(p.hosts, id)
+		}
+	}
+}
+
+// drop retires a host. Attempts that are out on it go on.
+func (p *Pool[K]) drop(h *Host[K]) {
+	if h != nil {
+		h.up = false
+		p.closeIdle(h)
+	}
+}
+
+func (p *Pool[K]) closeIdle(h *Host[K]) {
+	for _, c := range h.idle {
+		c.closeLocked()
+	}
+	h.idle = nil
+}
+
+// Host returns the process of a server that may be sent something new.
+func (p *Pool[K]) Host(id K) *Host[K] {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil && h.up {
+		return h
+	}
+	return nil
+}
+
+// Wanted tells whether a host still is to be sent something new.
+func (p *Pool[K]) Wanted(h *Host[K]) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return h.up
+}
+
+// Broken closes a host's idle connections after one of its connections broke
+// or could not be made: the others are as likely dead. An answer that can't be
+// read says nothing of the kind.
+func (p *Pool[K]) Broken(h *Host[K]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.closeIdle(h)
+}
+
+// Take returns the idle connection of a host that was used last, or nil.
+func (p *Pool[K]) Take(h *Host[K]) *Conn[K] {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for len(h.idle) > 0 {
+		c := h.idle[len(h.idle)-1]
+		h.idle = h.idle[:len(h.idle)-1]
+		if p.sound(c) {
+			return c
+		}
+		c.closeLocked()
+	}
+	return nil
+}
+
+// sound tells whether an idle connection may be used.
+func (p *Pool[K]) sound(c *Conn[K]) bool {
+	return time.Since(c.IdleAt) < min(p.IdleFor, p.ages.limit) && c.Quiet()
+}
+
+// Note counts an exchange by the [Conn.Age] that its connection had.
+func (c *Conn[K]) Note(age int, broke bool) {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.pool.ages.add(time.Now(), age, broke)
+}
+
+// Put keeps a connection for later, unless its host has moved on.
+func (p *Pool[K]) Put(c *Conn[K]) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	// The deadline of the request before must not stay: once it has passed, the
+	// check for silence fails and the connection would be closed.
+	if !c.Host.up || c.SetDeadline(time.Time{}) != nil {
+		c.closeLocked()
+		return
+	}
+	c.IdleAt = time.Now()
+	c.Host.idle = append(c.Host.idle, c)
+}
+
+// ErrNoRoom tells that the budget of connections is used up.
+var ErrNoRoom = errors.New("no connection left in the budget")
+
+// Connect opens a connection to a host.
+func (p *Pool[K]) Connect(ctx context.Context, h *Host[K]) (*Conn[K], error) {
+	p.mu.Lock()
+	if p.open >= p.Budget {
+		p.evict()
+	}
+	if p.open >= p.Budget {
+		p.mu.Unlock()
+		return nil, ErrNoRoom
+	}
+	p.open++
+	p.mu.Unlock()
+	d := net.Dialer{Timeout: p.connTimeout, KeepAlive: -1}
+	nc, err := d.DialContext(ctx, "tcp", h.Dial)
+	if err != nil {
+		p.mu.Lock()
+		p.open--
+		p.mu.Unlock()
+		return nil, err
+	}
+	from := &answerReader{from: nc}
+	return &Conn[K]{Conn: nc, pool: p, Host: h, from: from, In: bufio.NewReader(from)}, nil
+}
+
+// evict closes the connection that has been idle longest.
+func (p *Pool[K]) evict() {
+	var oldest *Host[K]
+	for _, h := range p.hosts {
+		if len(h.idle) > 0 && (oldest == nil || h.idle[0].IdleAt.Before(oldest.idle[0].IdleAt)) {
+			oldest = h
+		}
+	}
+	if oldest != nil {
+		oldest.idle[0].closeLocked()
+		oldest.idle = oldest.idle[1:]
+	}
+}
+
+// Sweep closes idle connections whose time is up or that the server has
+// closed, until the context ends.
+func (p *Pool[K]) Sweep(ctx context.Context) {
+	for ctx.Err() == nil {
+		sleep(ctx, sweepEvery)
+		p.mu.Lock()
+		p.ages.fade(time.Now())
+		p.ages.judge()
+		for _, h := range p.hosts {
+			kept := h.idle[:0]
+			for _, c := range h.idle {
+				if p.sound(c) {
+					kept = append(kept, c)
+				} else {
+					c.closeLocked()
+				}
+			}
+			clear(h.idle[len(kept):])
+			h.idle = kept
+		}
+		p.mu.Unlock()
+	}
+}
+
+// Close closes a connection and gives back its place.
+func (c *Conn[K]) Close() {
+	c.pool.mu.Lock()
+	defer c.pool.mu.Unlock()
+	c.closeLocked()
+}
+
+func (c *Conn[K]) closeLocked() {
+	c.once.Do(func() {
+		c.pool.open--
+		c.Conn.Close()
+	})
+}
+
+// Quiet tells that an idle connection is open and silent. One that the server
+// has closed must not be used: the request would end as a Cut, and an unsafe
+// one could not be sent again.
+func (c *Conn[K]) Quiet() bool {
+	raw, err := c.Conn.(syscall.Conn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(err, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+// Expect says that an exchange begins, whose answer may have so many bytes.
+func (c *Conn[K]) Expect(most int) { c.Used, c.from.left = true, most }
+
+// Died tells how the connection ended, nil if it has not.
+func (c *Conn[K]) Died() error { return c.from.died }
+
+// Age returns the group of a connection by how long it was idle, for [Pool.Note].
+func (c *Conn[K]) Age() int {
+	if !c.Used {
+		return newConns
+	}
+	return ageGroup(time.Since(c.IdleAt))
+}
+
+// Open returns how many connections are open or coming up.
+func (p *Pool[K]) Open() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.open
+}
+
+// Idle returns how many idle connections a host has.
+func (p *Pool[K]) Idle(id K) int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if h := p.hosts[id]; h != nil {
+		return len(h.idle)
+	}
+	return 0
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/internal/connpool/connpool_test.go
@@ -0,0 +1,78 @@
+package connpool
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+)
+
+const patience = 10 * time.Second
+
+// listen returns the address of a server that takes connections and says nothing.
+func listen(t *testing.T) string {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	return l.Addr().String()
+}
+
+// The latest used idle connection goes first, so that the others grow old and
+// are closed; past their time they are not used.
+func TestIdleConnections(t *testing.T) {
+	t.Parallel()
+	addr := listen(t)
+	p := New[int](2, patience, patience)
+	p.Update(1, addr, 0, true)
+	h := p.Host(1)
+	var cs [2]*Conn[int]
+	for i := range cs {
+		c, err := p.Connect(context.Background(), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		cs[i] = c
+	}
+	if _, err := p.Connect(context.Background(), h); err != ErrNoRoom {
+		t.Errorf("past the budget: %v", err)
+	}
+	p.Put(cs[0])
+	p.Put(cs[1])
+	if c := p.Take(h); c != cs[1] {
+		t.Error("not the latest used")
+	}
+	p.Put(cs[1])
+	if c, err := p.Connect(context.Background(), h); err != nil {
+		t.Errorf("an idle connection did not make room: %v", err)
+	} else {
+		c.Close()
+	}
+	if len(h.idle) != 1 || h.idle[0] != cs[1] || p.open != 1 {
+		t.Errorf("%d idle, %d open", len(h.idle), p.open)
+	}
+	cs[1].IdleAt = time.Now().Add(-2 * patience)
+	if c := p.Take(h); c != nil || p.open != 0 {
+		t.Errorf("an old connection was taken, %d open", p.open)
+	}
+}
+
+// The time of one request says nothing about a connection that is kept after it:
+// with that deadline left on it, the check for silence took it for closed.
+func TestKeptPastTheDeadline(t *testing.T) {
+	t.Parallel()
+	addr := listen(t)
+	p := New[int](2, patience, patience)
+	p.Update(1, addr, 0, true)
+	h := p.Host(1)
+	c, err := p.Connect(context.Background(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.SetDeadline(time.Now().Add(-time.Second))
+	p.Put(c)
+	if p.Take(h) != c {
+		t.Error("a sound connection was closed")
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -127,13 +127,13 @@
 			continue
 		}
 		listed[info.ID] = true
-		if n.servers.update(info, item.Dial) {
+		if n.updateHost(info, item.Dial) {
 			n.log.Info("server", "host", item.Host, "number", info.ID, "health", item.Health, "dial", item.Dial)
 		}
 		ev.Servers = append(ev.Servers, info)
 	}
 	if scope != silverscale.Partial {
-		n.servers.keepOnly(listed)
+		n.servers.KeepOnly(listed)
 	}
 	n.listed = n.listed || len(listed) > 0
 	n.handle(ev)
@@ -258,3 +258,11 @@
 	case <-t.C:
 	}
 }
+
+// updateHost tells the pool what the list says of a server and whether that is news.
+func (n *Node) updateHost(info silverscale.ServerInfo, dial string) bool {
+	if info.Phase == silverscale.Removed {
+		return n.servers.Remove(info.ID)
+	}
+	return n.servers.Update(info.ID, dial, info.ReadyAt, info.Phase == silverscale.Up)
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"example.org/silverscale"
+	"example.org/silverscale/internal/connpool"
 )
 
 const (
@@ -116,7 +117,7 @@
 		reload: make(chan struct{}, 1), discovery: make(chan string),
 	}
 	upstream, clients := socketBudget(cfg.Limits.Sockets)
-	n.servers = newPool(upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle*9/10)
+	n.servers = connpool.New[uint64](upstream, cfg.Settings.ConnTimeout, cfg.Settings.ConnIdle*9/10)
 	n.conns = newClientConns(clients)
 	listen := net.ListenConfig{Control: boundBuffer}
 	if n.listener, err = listen.Listen(context.Background(), "tcp", cfg.Listen); err != nil {
@@ -144,7 +145,7 @@
 	n.take(silverscale.Persisted, n.cfg.Known)
 	tasks.Go(func() { n.follow(background) })
 	tasks.Go(func() { n.reloads(background) })
-	tasks.Go(func() { n.servers.sweep(background) })
+	tasks.Go(func() { n.servers.Sweep(background) })
 	if n.peers != nil {
 		tasks.Go(n.sendPeers)
 		tasks.Go(n.hearPeers)
@@ -270,7 +271,7 @@
 			at.stopAt = stop
 		}
 	}
-	at.host = n.servers.host(a.Server)
+	at.host = n.servers.Host(a.Server)
 	most := n.cfg.Settings.Module.Caps.Attempts
 	switch {
 	case r.final != nil, !at.sentAt.Before(r.stopAt), most > 0 && at.try >= most:
@@ -300,9 +301,9 @@
 	if at.over {
 		return
 	}
-	n.outcome(at, at.host.id, silverscale.Undone)
+	n.outcome(at, at.host.ID, silverscale.Undone)
 	if at.conn != nil {
-		at.conn.close()
+		at.conn.Close()
 	}
 	if at.cancel != nil {
 		at.cancel()
@@ -401,7 +402,7 @@
 	if rep.result == silverscale.Pass && r.final == nil {
 		r.final = &answer{status: http.StatusOK, body: rep.body, content: rep.content}
 	}
-	n.handle(silverscale.Outcome{ID: r.id, Try: at.try, Server: at.host.id, Result: rep.result,
+	n.handle(silverscale.Outcome{ID: r.id, Try: at.try, Server: at.host.ID, Result: rep.result,
 		SpentMs: msSince(at.sentAt), Done: r.final != nil, Load: rep.load})
 }
 
--- a/internal/node/servers_test.go
+++ b/internal/node/servers_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"example.org/silverscale"
+	"example.org/silverscale/internal/connpool"
 )
 
 func TestRequestGoesOnUnchanged(t *testing.T) {
@@ -97,12 +98,7 @@
 }
 
 func idle(n *Node, host string) int {
-	n.servers.mu.Lock()
-	defer n.servers.mu.Unlock()
-	if h := n.servers.hosts[serverID(host)]; h != nil {
-		return len(h.idle)
-	}
-	return 0
+	return n.servers.Idle(serverID(host))
 }
 
 // What proves that nothing ran goes to another server, also for an unsafe
@@ -203,11 +199,11 @@
 func TestExchangeKnowsWhetherTheLastByteWasWritten(t *testing.T) {
 	t.Parallel()
 	srv := newRawServer(t)
-	p := newPool(8, patience, patience)
-	h := &host{id: 1, dial: srv.addr, up: true}
+	p := connpool.New[uint64](8, patience, patience)
+	h := &host{ID: 1, Dial: srv.addr}
 	call := &call{method: "POST", target: "/api", host: "x", requestID: "r", body: []byte("body")}
 	connect := func() *conn {
-		c, err := p.connect(context.Background(), h)
+		c, err := p.Connect(context.Background(), h)
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -215,7 +211,7 @@
 	}
 	c := connect()
 	c.Conn.(*net.TCPConn).CloseWrite()
-	if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.NoRoute || end != dead {
+	if rep, end := exchange(c, call, time.Now().Add(patience)); rep.result != silverscale.NoRoute || end != dead {
 		t.Errorf("a write that failed gave %v", rep.result)
 	}
 	c = connect()
@@ -225,15 +221,15 @@
 		s.request()
 		s.Close()
 	}()
-	if rep, end := c.exchange(call, time.Now().Add(patience)); rep.result != silverscale.Cut || end != dead {
+	if rep, end := exchange(c, call, time.Now().Add(patience)); rep.result != silverscale.Cut || end != dead {
 		t.Errorf("a connection that broke after the request gave %v", rep.result)
 	}
 	c = connect()
-	if rep, end := c.exchange(call, time.Now().Add(20*time.Millisecond)); rep.result != silverscale.TooSlow || end != finished {
+	if rep, end := exchange(c, call, time.Now().Add(20*time.Millisecond)); rep.result != silverscale.TooSlow || end != finished {
 		t.Errorf("silence gave %v", rep.result)
 	}
 	c = connect()
-	if rep, end := c.exchange(call, time.Now().Add(-time.Second)); rep.result != silverscale.NoRoute || end == reusable {
+	if rep, end := exchange(c, call, time.Now().Add(-time.Second)); rep.result != silverscale.NoRoute || end == reusable {
 		t.Errorf("with no time left the request was written: %v", rep.result)
 	}
 }
@@ -249,7 +245,7 @@
 	first := a.accept()
 	first.request()
 	r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
-	until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+	until(t, "the second server is known", func() bool { return r.node.servers.Host(serverID("s-b")) != nil })
 	// Known to the pool is known to the module once the mutex is free.
 	r.node.mu.Lock()
 	r.node.do(silverscale.AbortAttempt{ID: req.Header.Get("X-Request-ID"), Try: 0})
@@ -277,13 +273,13 @@
 	srv := newRawServer(t)
 	r := start(t, server("s-1", srv.addr))
 	n := r.node
-	h := n.servers.host(serverID("s-1"))
+	h := n.servers.Host(serverID("s-1"))
 	at := &attempt{req: &request{call: call{method: "POST", target: "/api", host: "x", requestID: "r"}}, host: h,
 		stopAt: time.Now().Add(patience)}
 	draining := server("s-1", srv.addr)
 	draining.Health = "draining"
 	r.discovery.set(draining)
-	until(t, "the drain is known", func() bool { return !n.servers.wanted(h) })
+	until(t, "the drain is known", func() bool { return !n.servers.Wanted(h) })
 	if rep := n.try(at); rep.result != silverscale.NoRoute {
 		t.Errorf("result %v", rep.result)
 	}
@@ -316,45 +312,6 @@
 	}
 }
 
-// The latest used idle connection goes first, so that the others grow old and
-// are closed; past their time they are not used.
-func TestIdleConnections(t *testing.T) {
-	t.Parallel()
-	srv := newRawServer(t)
-	p := newPool(2, patience, patience)
-	h := &host{id: 1, dial: srv.addr, up: true}
-	p.hosts[1] = h
-	var cs [2]*conn
-	for i := range cs {
-		c, err := p.connect(context.Background(), h)
-		if err != nil {
-			t.Fatal(err)
-		}
-		cs[i] = c
-	}
-	if _, err := p.connect(context.Background(), h); err != errNoRoom {
-		t.Errorf("past the budget: %v", err)
-	}
-	p.put(cs[0])
-	p.put(cs[1])
-	if c := p.take(h); c != cs[1] {
-		t.Error("not the latest used")
-	}
-	p.put(cs[1])
-	if c, err := p.connect(context.Background(), h); err != nil {
-		t.Errorf("an idle connection did not make room: %v", err)
-	} else {
-		c.close()
-	}
-	if len(h.idle) != 1 || h.idle[0] != cs[1] || p.open != 1 {
-		t.Errorf("%d idle, %d open", len(h.idle), p.open)
-	}
-	cs[1].idleAt = time.Now().Add(-2 * patience)
-	if c := p.take(h); c != nil || p.open != 0 {
-		t.Errorf("an old connection was taken, %d open", p.open)
-	}
-}
-
 // A client that goes away ends its attempt: the connection is closed.
 func TestClientGone(t *testing.T) {
 	t.Parallel()
@@ -463,7 +420,7 @@
 			r.got(outs[1])
 			until(t, "both are idle", func() bool { return idle(r.node, "s-a") == 2 })
 			r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
-			until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+			until(t, "the second server is known", func() bool { return r.node.servers.Host(serverID("s-b")) != nil })
 			r.node.mu.Lock() // known to the pool is known to the module once the mutex is free
 			r.node.mu.Unlock()
 			// Whichever server has the first attempt spoils it, the other one serves.
@@ -529,7 +486,7 @@
 	c := a.accept()
 	c.request()
 	r.discovery.set(server("s-a", a.addr), server("s-b", b.addr))
-	until(t, "the second server is known", func() bool { return r.node.servers.host(serverID("s-b")) != nil })
+	until(t, "the second server is known", func() bool { return r.node.servers.Host(serverID("s-b")) != nil })
 	io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: x\r\n\r\n")
 	if res := r.got(out); res.status != 502 {
 		t.Errorf("answer %d", res.status)
@@ -581,11 +538,11 @@
 	c.request()
 	c.answer("200 OK", "")
 	r.got(out)
-	old := r.node.servers.host(serverID("s-old"))
+	old := r.node.servers.Host(serverID("s-old"))
 	r.discovery.set(server("s-old", srv.addr), server("s-new", srv.addr))
-	until(t, "the new server is known", func() bool { return r.node.servers.host(serverID("s-new")) != nil })
+	until(t, "the new server is known", func() bool { return r.node.servers.Host(serverID("s-new")) != nil })
 	c.closed()
-	if r.node.servers.wanted(old) {
+	if r.node.servers.Wanted(old) {
 		t.Error("the old server is still sent something")
 	}
 	out = r.send(r.newRequest("send-bulk-paid", "enterprise", ""))
@@ -597,32 +554,57 @@
 	}
 }
 
-// The time of one request says nothing about a connection that is kept after it:
-// with that deadline left on it, the check for silence took it for closed.
-func TestKeptPastTheDeadline(t *testing.T) {
-	t.Parallel()
-	srv := newRawServer(t)
-	p := newPool(2, patience, patience)
-	h := &host{id: 1, dial: srv.addr, up: true}
-	p.hosts[1] = h
-	c, err := p.connect(context.Background(), h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.SetDeadline(time.Now().Add(-time.Second))
-	p.put(c)
-	if p.take(h) != c {
-		t.Error("a sound connection was closed")
-	}
-}
-
 // An idle connection is kept for most of the time for which servers keep it, and
 // closed before they do: a limiter of many meets a server once in some seconds, and
 // each new connection costs a handshake. Fails at half of the time.
 func TestIdleTimeIsMostOfTheServers(t *testing.T) {
 	t.Parallel()
 	r := start(t, server("s-1", echo(t)))
-	if idle, most := r.node.servers.idleFor, r.node.cfg.Settings.ConnIdle; idle < most*3/4 || idle > most*19/20 {
+	if idle, most := r.node.servers.IdleFor, r.node.cfg.Settings.ConnIdle; idle < most*3/4 || idle > most*19/20 {
 		t.Errorf("idle connections are kept for %v, servers keep them for %v", idle, most)
 	}
 }
+
+// Over sockets: a server that ends kept connections at the next request, when they
+// were idle for some time, gets requests on new ones.
+func TestStaleConnections(t *testing.T) {
+	t.Parallel()
+	srv := newRawServer(t)
+	p := connpool.New[uint64](8, patience, patience)
+	p.Update(1, srv.addr, 0, true)
+	h := p.Host(1)
+	call := &call{method: "GET", target: "/api", host: "x", requestID: "r"}
+	for i := 0; ; i++ {
+		if i > 20 {
+			t.Fatal("old connections are used for ever")
+		}
+		c, err := p.Connect(context.Background(), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := srv.accept()
+		go func() {
+			s.request()
+			s.answer("200 OK", "")
+		}()
+		if rep, end := exchange(c, call, time.Now().Add(patience)); rep.result != silverscale.Pass || end != reusable {
+			t.Fatalf("result %v", rep.result)
+		}
+		p.Put(c)
+		c.IdleAt = time.Now().Add(-300 * time.Millisecond)
+		if p.Take(h) == nil {
+			if i < 2 {
+				t.Errorf("given up after %d breaks", i)
+			}
+			return
+		}
+		go func() {
+			s.request()
+			s.Close()
+		}()
+		if rep, end := exchange(c, call, time.Now().Add(patience)); rep.result != silverscale.Cut || end != dead {
+			t.Fatalf("result %v", rep.result)
+		}
+		c.Close()
+	}
+}
