--- /dev/null
+++ b/controlplane/client.go
@@ -0,0 +1,172 @@
+package controlplane
+
+import (
+	"context"
+	"io"
+	"log/slog"
+	"net/http"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+
+	"example.org/silverscale/api"
+)
+
+const (
+	callTimeout = 600 * time.Millisecond
+	callPause   = 40 * time.Millisecond
+	// operatorWait is how long an operator's call may take: it gives up after a second.
+	operatorWait = 850 * time.Millisecond
+)
+
+// Client calls the leader of the core, from any process.
+type Client struct {
+	Conns *api.Conns
+	Local *Core // where this process is a member; else nil
+	Log   *slog.Logger
+
+	mu     sync.Mutex
+	leader string
+	addrs  []string
+	turn   int
+}
+
+// Learn takes in where the core is.
+func (c *Client) Learn(leader string, addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.leader = leader
+	if len(addrs) > 0 {
+		c.addrs = slices.Clone(addrs)
+	}
+}
+
+// Failed forgets a leader that does not answer.
+func (c *Client) Failed(addr string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == addr {
+		c.leader = ""
+	}
+}
+
+// Core returns the addresses of the core, as far as known.
+func (c *Client) Core() []string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return slices.Clone(c.addrs)
+}
+
+// Next returns whom to ask: the leader, or each of the core in turn.
+func (c *Client) Next() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader != "" {
+		return c.leader
+	}
+	if len(c.addrs) == 0 {
+		return ""
+	}
+	c.turn++
+	return c.addrs[c.turn%len(c.addrs)]
+}
+
+// toLeader calls until a process can say what came of it, or the context ends.
+func (c *Client) toLeader(ctx context.Context, local func(*Core) (*api.Result, error),
+	remote func(context.Context, *grpc.ClientConn) (*api.Result, error)) api.Result {
+	for ctx.Err() == nil {
+		if c.Local != nil && c.Local.Leads() {
+			if r, err := local(c.Local); err == nil && r.Status != 0 {
+				return *r
+			}
+		} else if addr := c.Next(); addr != "" {
+			conn, err := c.Conns.To(addr)
+			var r *api.Result
+			if err == nil {
+				call, cancel := context.WithTimeout(ctx, callTimeout)
+				r, err = remote(call, conn)
+				cancel()
+			}
+			switch {
+			case err != nil:
+				c.Failed(addr)
+			case r.Status != 0:
+				return *r
+			default:
+				c.Learn(r.Leader, nil)
+			}
+		}
+		select {
+		case <-ctx.Done():
+		case <-time.After(callPause):
+		}
+	}
+	return api.Result{Status: http.StatusServiceUnavailable, Why: "the core has no leader that answers; try again"}
+}
+
+// Replace brings a configuration to the leader.
+func (c *Client) Replace(ctx context.Context, q *api.Replace) api.Result {
+	return c.toLeader(ctx, func(l *Core) (*api.Result, error) { return l.Replace(ctx, q) },
+		func(ctx context.Context, conn *grpc.ClientConn) (*api.Result, error) {
+			return api.CallReplace(ctx, conn, q)
+		})
+}
+
+// Get reads the newest configuration.
+func (c *Client) Get(ctx context.Context) api.Result {
+	return c.toLeader(ctx, func(l *Core) (*api.Result, error) { return l.Get(ctx, &api.None{}) }, api.CallGet)
+}
+
+// Handler returns the operator's interface.
+func (c *Client) Handler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("POST /v1/Config.Replace", func(w http.ResponseWriter, r *http.Request) {
+		base, err := strconv.ParseUint(r.Header.Get("Base-Revision"), 10, 64)
+		if err != nil {
+			http.Error(w, "Base-Revision: the number of the version that this one builds on is needed", http.StatusBadRequest)
+			return
+		}
+		body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, api.MaxConfig))
+		if err != nil {
+			status := http.StatusBadRequest
+			if _, ok := err.(*http.MaxBytesError); ok {
+				status = http.StatusRequestEntityTooLarge
+			}
+			http.Error(w, "the configuration can't be read whole: "+err.Error(), status)
+			return
+		}
+		if _, err := api.ParseConfig(body); err != nil {
+			http.Error(w, err.Error(), http.StatusBadRequest)
+			return
+		}
+		c.answer(w, r, func(ctx context.Context) api.Result {
+			return c.Replace(ctx, &api.Replace{Base: base, Config: body})
+		})
+	})
+	mux.HandleFunc("GET /v1/Config.Get", func(w http.ResponseWriter, r *http.Request) { c.answer(w, r, c.Get) })
+	return mux
+}
+
+func (c *Client) answer(w http.ResponseWriter, r *http.Request, call func(context.Context) api.Result) {
+	ctx, cancel := context.WithTimeout(r.Context(), operatorWait)
+	defer cancel()
+	res := call(ctx)
+	c.Log.Info("operator", "call", r.URL.Path, "base", r.Header.Get("Base-Revision"), "status", res.Status, "why", res.Why)
+	switch {
+	case res.Status == http.StatusOK:
+		if res.Config != nil {
+			w.Header().Set("Content-Type", "application/cbor")
+			w.Header().Set("Content-Length", strconv.Itoa(len(res.Config)))
+		}
+		w.WriteHeader(http.StatusOK)
+		w.Write(res.Config)
+	default:
+		if res.Status == http.StatusServiceUnavailable {
+			w.Header().Set("Retry-After", "0.2")
+		}
+		http.Error(w, res.Why, res.Status)
+	}
+}
--- /dev/null
+++ b/dataplane/answer.go
@@ -0,0 +1,164 @@
+package dataplane
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/silverscale/dataplane/h1"
+)
+
+const (
+	// Answers up to holdAnswer are read whole before a byte goes out: one that a
+	// server breaks off can then still be asked of another.
+	holdAnswer = 32 << 10
+	copyBuffer = 16 << 10
+)
+
+// answer is the final answer to a request: one of our own, or a server's.
+type answer struct {
+	status     int
+	why        string // of our own answers: plain text
+	retryAfter time.Duration
+	closes     bool
+
+	from   *h1.Head // a server's
+	body   []byte   // as far as it was read
+	rest   *h1.Body // what follows, where it was not read whole
+	length int64    // of all; h1.Chunks where it isn't known
+	free   func(whole bool)
+}
+
+// release gives back the connection to the server.
+func (a *answer) release() {
+	if a.free != nil {
+		a.free(a.rest == nil || a.rest.Done())
+		a.free = nil
+	}
+}
+
+var heads = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+var copies = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
+
+// writeTo writes the answer. An error leaves it visibly incomplete: the length
+// is not reached or the last chunk is missing.
+func (a *answer) writeTo(w io.Writer, req *h1.Head) error {
+	b := heads.Get().(*bytes.Buffer)
+	defer heads.Put(b)
+	b.Reset()
+	text := http.StatusText(a.status)
+	if text == "" {
+		text = "Status"
+	}
+	fmt.Fprintf(b, "HTTP/1.1 %d %s\r\n", a.status, text)
+	body, length := a.body, a.length
+	if a.from != nil {
+		for _, f := range a.from.Fields {
+			if !perConnection(a.from, f.Name) {
+				field(b, f.Name, f.Value)
+			}
+		}
+	} else {
+		if req != nil {
+			if id := req.Get("Attempt-Id"); id != "" {
+				field(b, "Attempt-Id", id)
+			}
+		}
+		if a.why != "" {
+			field(b, "Content-Type", "text/plain")
+			body = []byte(a.why + "\n")
+		}
+		length = int64(len(body))
+		if a.retryAfter > 0 {
+			field(b, "Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', 3, 64))
+		}
+	}
+	if a.closes {
+		field(b, "Connection", "close")
+	}
+	none := a.status == 204 || a.status == 304
+	switch {
+	case none:
+	case length >= 0:
+		field(b, "Content-Length", strconv.FormatInt(length, 10))
+	default:
+		field(b, "Transfer-Encoding", "chunked")
+	}
+	b.WriteString("\r\n")
+	if req != nil && req.Method == "HEAD" {
+		_, err := w.Write(b.Bytes())
+		return err
+	}
+	if length < 0 {
+		if len(body) > 0 {
+			fmt.Fprintf(b, "%x\r\n", len(body))
+			b.Write(body)
+			b.WriteString("\r\n")
+		}
+	} else {
+		b.Write(body)
+	}
+	if a.rest == nil && length < 0 {
+		b.WriteString("0\r\n\r\n")
+	}
+	if _, err := w.Write(b.Bytes()); err != nil || a.rest == nil {
+		return err
+	}
+	return a.copyRest(w, length)
+}
+
+func (a *answer) copyRest(w io.Writer, length int64) error {
+	p := copies.Get().(*[]byte)
+	defer copies.Put(p)
+	const room = 8 // for a chunk's size
+	buf := *p
+	for {
+		n, err := a.rest.Read(buf[room : len(buf)-2])
+		if n > 0 {
+			out := buf[room : room+n]
+			if length < 0 {
+				size := strconv.AppendInt(nil, int64(n), 16)
+				at := room - len(size) - 2
+				copy(buf[at:], size)
+				buf[room-2], buf[room-1], buf[room+n], buf[room+n+1] = '\r', '\n', '\r', '\n'
+				out = buf[at : room+n+2]
+			}
+			if _, err := w.Write(out); err != nil {
+				return err
+			}
+		}
+		if a.rest.Done() {
+			if length < 0 {
+				_, err = io.WriteString(w, "0\r\n\r\n")
+				return err
+			}
+			return nil
+		}
+		if err != nil {
+			return err
+		}
+	}
+}
+
+func field(b *bytes.Buffer, name, value string) {
+	b.WriteString(name)
+	b.WriteString(": ")
+	b.WriteString(value)
+	b.WriteString("\r\n")
+}
+
+// perConnection tells whether a field concerns one connection only, or the
+// framing, which is made anew (RFC 9110, 7.6.1).
+func perConnection(h *h1.Head, name string) bool {
+	switch strings.ToLower(name) {
+	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length":
+		return true
+	}
+	return h.Has("Connection", name)
+}
--- /dev/null
+++ b/dataplane/balance/balance.go
@@ -0,0 +1,344 @@
+// Package balance chooses servers. One limiter of many sees little of what a
+// server has in hand; so limiters tell each other what they have out and how
+// long each answer took, and choose by the sum. Where figures are equal each
+// limiter prefers servers of its own, so that two do not take the same one at
+// the same time. It reads no clock and does no I/O; times are in milliseconds.
+package balance
+
+import (
+	"cmp"
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/silverscale/api"
+)
+
+const (
+	hintMs     = 1500.0 // a limiter's word on its load counts so long
+	slowWeight = 0.3    // of one answer in a server's slowness
+	fadeMs     = 4000.0 // slowness fades towards the typical over this time
+	workWeight = 0.02   // of one answer in a service's typical work
+	fullMs     = 60.0   // a server that was full is left alone so long
+	ejectMs    = 500.0  // after a failure; doubled with each further one
+	ejectMost  = 8000.0
+	crossCost  = 0.08 // of typical work: what a server in another zone costs more
+	bulkCost   = 0.7  // ... where answers are large and bytes between zones are paid for
+	otherCost  = 0.02 // a server that another limiter prefers
+	coldFactor = 2.0  // a cold server is so much slower, at the most
+	Failure    = 255  // in Hint.Took: the answer failed
+	tookScale  = 16.0
+)
+
+// Hint is what a limiter tells of a server: what it has out there and, where
+// an answer has come, how long that took against the typical one.
+type Hint struct {
+	Server uint32 // hash of the member's id
+	Out    uint8
+	Took   uint8 // in sixteenths of the typical time, 0: no answer since
+}
+
+// Member is one server process.
+type Member struct {
+	api.Server
+	Hash    uint32
+	service *service
+	out     int
+	others  map[uint64]told
+	slow    float64
+	slowAt  float64
+	fails   int
+	offTo   float64 // ejected
+	fullTo  float64
+	warmAt  float64
+	rank    uint8 // 0: this limiter prefers it
+	gone    bool
+}
+
+type told struct {
+	out int
+	at  float64
+}
+
+type service struct {
+	members []*Member
+	work    float64
+	n       float64
+}
+
+// Set is what one limiter knows of the servers. It is not safe for concurrent use.
+type Set struct {
+	zone     string
+	self     uint64
+	peers    []uint64 // limiters in this zone, self included
+	rng      *rand.Rand
+	byID     map[string]*Member
+	byHash   map[uint32]*Member
+	services map[string]*service
+	dirty    map[uint32]uint8
+}
+
+// New returns a set for a limiter, by the hash of its name, in a zone.
+func New(zone string, self, seed uint64) *Set {
+	return &Set{zone: zone, self: self, rng: rand.New(rand.NewPCG(seed, 0xba1)), byID: map[string]*Member{},
+		byHash: map[uint32]*Member{}, services: map[string]*service{}, dirty: map[uint32]uint8{}}
+}
+
+// Update takes in a whole list of servers. One with a new member id is a new
+// server, whatever stood at its address.
+func (s *Set) Update(now float64, list []api.Server) {
+	for _, m := range s.byID {
+		m.gone = true
+	}
+	for _, e := range list {
+		m := s.byID[e.ID]
+		if m == nil {
+			m = &Member{Hash: uint32(xxhash.Sum64String(e.ID)), slow: 1, slowAt: now, others: map[uint64]told{}}
+			s.byID[e.ID], s.byHash[m.Hash] = m, m
+		}
+		m.Server, m.gone, m.warmAt = e, false, now+e.WarmupMs
+		m.Capacity = max(1, m.Capacity)
+	}
+	for _, v := range s.services {
+		v.members = v.members[:0]
+	}
+	for id, m := range s.byID {
+		if m.gone {
+			delete(s.byID, id)
+			if s.byHash[m.Hash] == m {
+				delete(s.byHash, m.Hash)
+			}
+			continue
+		}
+		v := s.services[m.Upstream]
+		if v == nil {
+			v = &service{}
+			s.services[m.Upstream] = v
+		}
+		m.service = v
+		v.members = append(v.members, m)
+	}
+	for name, v := range s.services {
+		if len(v.members) == 0 {
+			delete(s.services, name)
+		}
+		slices.SortFunc(v.members, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	s.prefer()
+}
+
+// Peers says which limiters there are in this zone, by the hashes of their names.
+func (s *Set) Peers(ids []uint64) {
+	s.peers = append([]uint64{s.self}, ids...)
+	slices.Sort(s.peers)
+	s.prefer()
+}
+
+// prefer deals each service's servers of the zone out among the limiters of it.
+func (s *Set) prefer() {
+	at := max(0, slices.Index(s.peers, s.self))
+	for _, v := range s.services {
+		k := 0
+		for _, m := range v.members {
+			m.rank = 1
+			if m.Zone == s.zone && m.State != api.Draining {
+				if len(s.peers) == 0 || k%len(s.peers) == at {
+					m.rank = 0
+				}
+				k++
+			}
+		}
+	}
+}
+
+// load is what is out at a server, here and elsewhere.
+func (m *Member) load(now float64) float64 {
+	n := float64(m.out)
+	for id, t := range m.others {
+		if now-t.at > hintMs {
+			delete(m.others, id)
+			continue
+		}
+		n += float64(t.out)
+	}
+	return n
+}
+
+func (m *Member) slowness(now float64) float64 {
+	m.slow = 1 + (m.slow-1)*math.Exp((m.slowAt-now)/fadeMs)
+	m.slowAt = now
+	if left := m.warmAt - now; left > 0 {
+		return m.slow * coldFactor
+	}
+	return m.slow
+}
+
+// Request is what the choice depends on.
+type Request struct {
+	Service string
+	Bulk    bool // a large answer
+	LeftMs  float64
+	Tried   []*Member
+}
+
+// Choose returns the server with the least expected finish, or nil where none
+// can be expected to answer in the time left; wait is then when to come back.
+func (s *Set) Choose(now float64, r Request) (best *Member, waitMs float64) {
+	v := s.services[r.Service]
+	if v == nil {
+		return nil, 1000
+	}
+	work := max(1, v.work)
+	var bestCost, bestTime float64
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		for _, m := range v.members {
+			if m.State == api.Draining || slices.Contains(r.Tried, m) || pass == 0 && (now < m.offTo || now < m.fullTo) ||
+				pass == 1 && now < m.fullTo {
+				continue
+			}
+			c, load := float64(m.Capacity), m.load(now)
+			queued := max(0, load+1-c) / c
+			slow := m.slowness(now)
+			time := slow * (1 + queued)
+			cost := time + 0.05*load/c
+			if m.Zone != s.zone {
+				if cost += crossCost; r.Bulk {
+					cost += bulkCost
+				}
+			}
+			cost += otherCost*float64(m.rank) + 0.01*s.rng.Float64()
+			if best == nil || cost < bestCost {
+				best, bestCost, bestTime = m, cost, time
+			}
+		}
+	}
+	switch {
+	case best == nil:
+		return nil, fullMs
+	case v.n > 0 && work*bestTime > r.LeftMs && best.load(now) >= float64(best.Capacity):
+		return nil, max(fullMs, work*bestTime-r.LeftMs)
+	}
+	return best, 0
+}
+
+// Sent notes that a request goes to a server.
+func (s *Set) Sent(m *Member) {
+	m.out++
+	s.touch(m, 0)
+}
+
+// Result is how an attempt ended.
+type Result int
+
+// The results.
+const (
+	Good   Result = iota // an answer in full
+	Full                 // it said that it did not run the request
+	Failed               // no answer, or none of use
+	Unsent               // nothing reached it: the connect failed
+	Given                // given up here: says nothing about the server
+	Moved                // another server stands at its address
+)
+
+// Done notes how an attempt ended and how long it took.
+func (s *Set) Done(now float64, m *Member, r Result, tookMs float64) {
+	m.out = max(0, m.out-1)
+	took := uint8(0)
+	switch r {
+	case Good:
+		m.fails = 0
+		v := m.service
+		v.n++
+		// Work is learnt from answers of servers as they are: queues and slowness are
+		// the servers' own figures against it.
+		v.work += (tookMs - v.work) * max(workWeight, 1/v.n)
+		ratio := tookMs / max(1, v.work)
+		took = uint8(max(1, min(tookScale*ratio, 254)))
+		s.observe(now, m, took)
+	case Full:
+		m.fullTo = now + fullMs
+	case Failed, Unsent:
+		took = Failure
+		s.observe(now, m, took)
+	case Moved:
+		m.offTo = now + ejectMost
+	}
+	s.touch(m, took)
+}
+
+func (s *Set) observe(now float64, m *Member, took uint8) {
+	if took == Failure {
+		m.fails++
+		if m.fails >= 2 {
+			m.offTo = now + min(ejectMost, ejectMs*math.Pow(2, float64(m.fails-2)))
+		}
+		return
+	}
+	m.fails = 0
+	m.slow = m.slowness(now)
+	if m.warmAt > now {
+		m.slow /= coldFactor
+		return
+	}
+	m.slow += (float64(took)/tookScale - m.slow) * slowWeight * min(1, float64(len(m.service.members))/4)
+	m.slow = max(0.3, min(8, m.slow))
+}
+
+func (s *Set) touch(m *Member, took uint8) {
+	if took == 0 {
+		took = s.dirty[m.Hash]
+	}
+	s.dirty[m.Hash] = took
+}
+
+// Hints returns what is to be told of servers since the last call.
+func (s *Set) Hints(out []Hint) []Hint {
+	for h, took := range s.dirty {
+		n := 0
+		if m := s.byHash[h]; m != nil {
+			n = m.out
+		}
+		out = append(out, Hint{h, uint8(min(255, n)), took})
+	}
+	clear(s.dirty)
+	return out
+}
+
+// Heard takes in another limiter's hints.
+func (s *Set) Heard(now float64, from uint64, hints []Hint) {
+	for _, h := range hints {
+		m := s.byHash[h.Server]
+		if m == nil {
+			continue
+		}
+		if h.Out == 0 {
+			delete(m.others, from)
+		} else {
+			m.others[from] = told{int(h.Out), now}
+		}
+		if h.Took != 0 {
+			s.observe(now, m, h.Took)
+		}
+	}
+}
+
+// Known tells whether any server of a service is known.
+func (s *Set) Known(service string) bool { return s.services[service] != nil }
+
+// Len is the number of servers known.
+func (s *Set) Len() int { return len(s.byID) }
+
+// Members returns the servers of all services, by id.
+func (s *Set) Members() []*Member {
+	var out []*Member
+	for _, m := range s.byID {
+		out = append(out, m)
+	}
+	slices.SortFunc(out, func(a, b *Member) int { return cmp.Compare(a.ID, b.ID) })
+	return out
+}
+
+// Out is what this limiter has out at a server.
+func (m *Member) Out() int { return m.out }
--- /dev/null
+++ b/dataplane/forward.go
@@ -0,0 +1,334 @@
+package dataplane
+
+import (
+	"bytes"
+	"context"
+	"errors"
+	"io"
+	"math"
+	"net"
+	"os"
+	"strconv"
+	"strings"
+	"time"
+
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/h1"
+	"example.org/silverscale/internal/connpool"
+)
+
+const (
+	maxAnswerHead = 32 << 10
+	// A try of a repeatable request that is answered in part waits for the rest no
+	// longer than the deadline.
+	fullAdvice  = 100 * time.Millisecond
+	leastAdvice = 30 * time.Millisecond
+	retryShare  = 0.15 // further tries that a server may have worked on, for each request ...
+	retryMost   = 10.0 // ... saved up to this
+)
+
+type conn = connpool.Conn[string]
+
+// outcome is how a try at a server ended.
+type outcome struct {
+	result balance.Result
+	ran    bool    // the server may have run it
+	answer *answer // what it said, if that is of use
+}
+
+// handle works on a request until there is a final answer.
+func (g *Gateway) handle(r *request) *answer {
+	g.mu.Lock()
+	if r.tenant != nil {
+		if wait, ok := g.quota.Admit(inMs(g.now()), r.tenant.id); !ok {
+			g.mu.Unlock()
+			return &answer{status: 429, why: "beyond the quota", retryAfter: max(leastAdvice, millis(wait))}
+		}
+	}
+	service := r.route.service(g.rng.Float64())
+	g.retries[service] = min(retryMost, g.retries[service]+retryShare)
+	g.mu.Unlock()
+	choice := balance.Request{Service: service, Bulk: r.route.Type == "download"}
+	tries := max(1, r.route.Retries)
+	ran := false
+	var last *answer
+	for n := 0; n < tries; n++ {
+		left := time.Until(r.deadline)
+		if left <= 0 {
+			break
+		}
+		choice.LeftMs = inMs(left)
+		g.mu.Lock()
+		if ran { // a try that may have cost work comes out of what was saved up
+			if g.retries[service] < 1 {
+				g.mu.Unlock()
+				break
+			}
+			g.retries[service]--
+		}
+		m, wait := g.balance.Choose(inMs(g.now()), choice)
+		if m == nil {
+			g.mu.Unlock()
+			if !ran {
+				return &answer{status: 503, why: "no server can answer in time", retryAfter: max(leastAdvice, min(fullAdvice, millis(wait)))}
+			}
+			break
+		}
+		g.balance.Sent(m)
+		host := g.pool.Host(m.ID)
+		g.mu.Unlock()
+		sent := time.Now()
+		o := outcome{result: balance.Unsent}
+		if host != nil {
+			o = g.try(r, m, host)
+		}
+		g.mu.Lock()
+		g.balance.Done(inMs(g.now()), m, o.result, inMs(time.Since(sent)))
+		g.mu.Unlock()
+		if o.result != balance.Good {
+			g.log.Debug("try", "id", r.head.Get("Attempt-Id"), "n", n, "server", m.ID, "result", int(o.result), "ran", o.ran, "answered", o.answer != nil)
+		}
+		choice.Tried = append(choice.Tried, m)
+		ran = ran || o.ran
+		if o.answer != nil {
+			if o.result == balance.Good || !r.route.Repeatable() {
+				if last != nil {
+					last.release()
+				}
+				return o.answer
+			}
+			if last != nil {
+				last.release()
+			}
+			last = o.answer // a failure of the server's: another may do better
+		}
+		if ran && !r.route.Repeatable() || r.started {
+			break
+		}
+	}
+	switch {
+	case last != nil:
+		return last
+	case !ran && !r.started:
+		return &answer{status: 503, why: "no server took the request", retryAfter: fullAdvice}
+	case !time.Now().Before(r.deadline):
+		return &answer{status: 504, why: "the time is up"}
+	}
+	return &answer{status: 502, why: "no server gave an answer of use"}
+}
+
+// try sends a request to one server and reads its answer.
+func (g *Gateway) try(r *request, m *balance.Member, host *connpool.Host[string]) outcome {
+	for {
+		c := g.pool.Take(host)
+		kept := c != nil
+		if c == nil {
+			ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+			var err error
+			c, err = g.pool.Connect(ctx, host)
+			cancel()
+			if err != nil {
+				if !errors.Is(err, connpool.ErrNoRoom) {
+					g.pool.Broken(host)
+				}
+				return outcome{result: balance.Unsent}
+			}
+		}
+		if !g.pool.Wanted(host) { // it went while we connected
+			c.Close()
+			return outcome{result: balance.Moved}
+		}
+		o, stale := g.exchange(r, m, c)
+		if stale && kept {
+			continue
+		}
+		return o
+	}
+}
+
+// exchange writes the request and reads the answer. It is stale if the
+// connection turned out dead before a byte was written.
+func (g *Gateway) exchange(r *request, m *balance.Member, c *conn) (o outcome, stale bool) {
+	free := func(reuse bool) {
+		if reuse && c.In.Buffered() == 0 {
+			g.pool.Put(c)
+		} else {
+			c.Close()
+		}
+	}
+	c.SetDeadline(r.deadline)
+	if c.Used && !c.Quiet() {
+		c.Close()
+		return outcome{result: balance.Unsent}, true
+	}
+	age := c.Age()
+	c.Expect(math.MaxInt)
+	b := heads.Get().(*bytes.Buffer)
+	b.Reset()
+	r.writeHead(b, m.ID)
+	n, err := c.Write(b.Bytes())
+	heads.Put(b)
+	if err != nil && n == 0 {
+		c.Note(age, true)
+		c.Close()
+		return outcome{result: balance.Unsent}, true
+	}
+	if err == nil && r.stream != nil {
+		r.started = true
+		err = r.streamTo(c)
+	}
+	var head *h1.Head
+	if err == nil {
+		head, err = h1.ReadAnswer(c.In, maxAnswerHead)
+	}
+	c.Note(age, c.Died() != nil)
+	if err != nil {
+		c.Close()
+		return outcome{result: failure(err), ran: true}, false
+	}
+	framing, err := head.AnswerBody(r.head.Method)
+	id := head.Get("Attempt-Id")
+	good := head.Status/100 == 2
+	switch {
+	case err != nil, id != "" && id != r.head.Get("Attempt-Id"):
+		err = errors.New("the answer is not to this request")
+	case good && (head.Get("Server-Seal") == "" || head.Get("Content-Encoding") != "" || framing == h1.TillEnds):
+		err = errors.New("the answer is not the server's")
+	}
+	if err != nil {
+		c.Close()
+		return outcome{result: balance.Failed, ran: true}, false
+	}
+	reuse := !head.Closes() && framing != h1.TillEnds
+	a := &answer{status: head.Status, from: head, length: framing}
+	body := h1.NewBody(c.In, framing)
+	if framing >= 0 && framing <= holdAnswer || !good || r.head.Method == "HEAD" {
+		limit := int64(holdAnswer)
+		if a.body, err = io.ReadAll(io.LimitReader(body, limit)); err == nil && !body.Done() {
+			err = errors.New("a failure's body is too long")
+		}
+		if err != nil {
+			c.Close()
+			if !good { // the status alone says enough
+				return g.judge(r, m, a, false)
+			}
+			return outcome{result: failure(err), ran: true}, false
+		}
+		a.length = int64(len(a.body))
+		free(reuse)
+		return g.judge(r, m, a, good)
+	}
+	a.rest = body
+	a.free = func(whole bool) { free(reuse && whole) }
+	return outcome{result: balance.Good, ran: true, answer: a}, false
+}
+
+// judge tells what an answer that was read says.
+func (g *Gateway) judge(r *request, m *balance.Member, a *answer, good bool) (outcome, bool) {
+	switch {
+	case good:
+		return outcome{result: balance.Good, ran: true, answer: a}, false
+	case a.status == 421:
+		return outcome{result: balance.Moved}, false
+	case a.from.Get("Not-Executed") != "":
+		if a.status == 400 { // no other server would take it
+			return outcome{result: balance.Good, answer: a}, false
+		}
+		return outcome{result: balance.Full}, false
+	case a.status == 429, a.status == 503, a.status == 408:
+		// These would promise that it has not run, which the server did not say.
+		a = &answer{status: 502, why: "the server failed"}
+		return outcome{result: balance.Failed, ran: true, answer: a}, false
+	case a.status < 500:
+		return outcome{result: balance.Good, ran: true, answer: a}, false
+	}
+	return outcome{result: balance.Given, ran: true, answer: a}, false
+}
+
+// failure tells what an error says about the server: nothing, where the time
+// was up in the midst of an answer.
+func failure(err error) balance.Result {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return balance.Failed
+	}
+	var e net.Error
+	if errors.As(err, &e) && e.Timeout() {
+		return balance.Given
+	}
+	return balance.Failed
+}
+
+// writeHead writes the head for a server, with a body that is held.
+func (r *request) writeHead(b *bytes.Buffer, member string) {
+	b.WriteString(r.head.Method)
+	b.WriteByte(' ')
+	b.WriteString(r.head.Target)
+	b.WriteString(" HTTP/1.1\r\n")
+	for _, f := range r.head.Fields {
+		if perConnection(r.head, f.Name) || ours(f.Name) || r.keyed && strings.EqualFold(f.Name, "Authorization") {
+			continue
+		}
+		field(b, f.Name, f.Value)
+	}
+	field(b, "Time-Budget-Ms", strconv.FormatInt(max(1, time.Until(r.deadline).Milliseconds()), 10))
+	field(b, "Target-Member", member)
+	if r.tenant != nil {
+		field(b, "Tenant-Name", r.tenant.name)
+	}
+	switch {
+	case r.stream != nil && r.length < 0:
+		field(b, "Transfer-Encoding", "chunked")
+	case r.stream != nil:
+		field(b, "Content-Length", strconv.FormatInt(r.length, 10))
+	case len(r.body) > 0 || r.head.Method == "POST" || r.head.Method == "PUT" || r.head.Method == "PATCH":
+		field(b, "Content-Length", strconv.Itoa(len(r.body)))
+	}
+	b.WriteString("\r\n")
+	if r.stream == nil {
+		b.Write(r.body)
+	}
+}
+
+// ours are the fields that the system sets itself, whatever a client sent.
+func ours(name string) bool {
+	return strings.EqualFold(name, "Time-Budget-Ms") || strings.EqualFold(name, "Target-Member") ||
+		strings.EqualFold(name, "Tenant-Name") || strings.EqualFold(name, "Expect")
+}
+
+// streamTo sends a body that is too long to be held.
+func (r *request) streamTo(w io.Writer) error {
+	p := copies.Get().(*[]byte)
+	defer copies.Put(p)
+	buf := *p
+	chunk := func(data []byte) error {
+		if r.length >= 0 {
+			_, err := w.Write(data)
+			return err
+		}
+		out := append(strconv.AppendInt(nil, int64(len(data)), 16), "\r\n"...)
+		out = append(append(out, data...), "\r\n"...)
+		_, err := w.Write(out)
+		return err
+	}
+	if len(r.body) > 0 {
+		if err := chunk(r.body); err != nil {
+			return err
+		}
+	}
+	for !r.stream.Done() {
+		n, err := r.stream.Read(buf)
+		if n > 0 {
+			if err := chunk(buf[:n]); err != nil {
+				return err
+			}
+		}
+		if err != nil && err != io.EOF {
+			return err
+		}
+	}
+	if r.length < 0 {
+		_, err := io.WriteString(w, "0\r\n\r\n")
+		return err
+	}
+	return nil
+}
--- /dev/null
+++ b/dataplane/front.go
@@ -0,0 +1,314 @@
+package dataplane
+
+import (
+	"bufio"
+	"errors"
+	"io"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/silverscale/dataplane/h1"
+)
+
+const (
+	readBuffer   = 4 << 10
+	maxPipelined = 8        // requests of one connection in hand at once
+	holdBody     = 64 << 10 // bodies up to this are held, so that another server can get them
+	writeFor     = 10 * time.Second
+	minBudget    = time.Millisecond
+	maxBudget    = 10 * time.Minute
+)
+
+var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
+
+// clientConn is one client's connection. Its requests are read one after the
+// other; repeatable ones behind each other are worked on at once, and answered
+// in their order.
+type clientConn struct {
+	g  *Gateway
+	nc net.Conn
+	in *bufio.Reader
+
+	mu      sync.Mutex
+	seq     int // requests read
+	waiting bool
+	closing bool // an answer says that the connection closes
+}
+
+// request is one try of a client, as read.
+type request struct {
+	head     *h1.Head
+	route    *route
+	tenant   *tenant
+	keyed    bool // keys are asked for: they are not passed on
+	arrived  time.Time
+	budget   time.Duration
+	deadline time.Time
+	body     []byte   // held, in full
+	stream   *h1.Body // or too long to be held
+	length   int64    // of the stream; h1.Chunks where it isn't known
+	started  bool     // some of the stream is gone
+}
+
+func (g *Gateway) accept() {
+	for {
+		nc, err := g.front.Accept()
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // out of descriptors, say
+			time.Sleep(5 * time.Millisecond)
+			continue
+		}
+		c := &clientConn{g: g, nc: nc}
+		g.mu.Lock()
+		g.conns[c] = struct{}{}
+		g.mu.Unlock()
+		g.tasks.Go(c.serve)
+	}
+}
+
+// wakeIfIdle ends a connection that has no request in hand, for a drain.
+func (c *clientConn) wakeIfIdle() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.waiting {
+		c.nc.SetReadDeadline(time.Unix(1, 0))
+	}
+}
+
+func (c *clientConn) serve() {
+	c.in = readers.Get().(*bufio.Reader)
+	c.in.Reset(c.nc)
+	var answers sync.WaitGroup
+	defer func() {
+		answers.Wait()
+		c.in.Reset(nil)
+		readers.Put(c.in)
+		c.nc.Close()
+		c.g.mu.Lock()
+		delete(c.g.conns, c)
+		c.g.mu.Unlock()
+	}()
+	places := make(chan struct{}, maxPipelined)
+	turn := make(chan struct{})
+	close(turn)
+	for first := true; ; first = false {
+		head, err := c.readHead(first)
+		if err != nil {
+			<-turn // answers that are owed go first
+			var e *h1.Error
+			if errors.As(err, &e) {
+				c.g.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "err", err)
+				c.write(&answer{status: e.Status, why: e.Why, closes: true}, nil)
+			}
+			return
+		}
+		arrived := time.Now()
+		c.mu.Lock()
+		if c.closing { // behind an answer that closes the connection: not read
+			c.mu.Unlock()
+			return
+		}
+		c.seq++
+		seq := c.seq
+		c.mu.Unlock()
+		mine, done := turn, make(chan struct{})
+		turn = done
+		r, a := c.prepare(head, arrived)
+		if a == nil && r.stream == nil && r.route.Repeatable() && !head.Closes() {
+			places <- struct{}{}
+			answers.Go(func() {
+				c.respond(r, nil, mine, seq)
+				close(done)
+				<-places
+			})
+			continue
+		}
+		closes := c.respond(r, a, mine, seq)
+		close(done)
+		if closes {
+			return
+		}
+	}
+}
+
+// readHead waits for a request and reads its head.
+func (c *clientConn) readHead(first bool) (*h1.Head, error) {
+	headFor, idleFor, most := defaultHeadFor, defaultIdleFor, defaultHeader
+	if v := c.g.view.Load(); v != nil {
+		headFor, idleFor, most = v.headFor, v.idleFor, v.maxHead
+	}
+	wait := idleFor
+	if first {
+		wait = headFor
+	}
+	if c.in.Buffered() == 0 {
+		c.mu.Lock()
+		c.nc.SetReadDeadline(time.Now().Add(wait))
+		c.waiting = true
+		c.mu.Unlock()
+		_, err := c.in.Peek(1)
+		c.mu.Lock()
+		c.waiting = false
+		c.mu.Unlock()
+		if err != nil {
+			return nil, io.EOF // nothing was asked: nothing is owed
+		}
+	}
+	c.nc.SetReadDeadline(time.Now().Add(headFor))
+	h, err := h1.ReadRequest(c.in, most)
+	var t net.Error
+	if errors.As(err, &t) && t.Timeout() {
+		return nil, &h1.Error{Status: 408, Why: "the head did not come in time"}
+	}
+	return h, err
+}
+
+// prepare checks a request, finds its route and tenant and reads its body. An
+// answer that is returned is final.
+func (c *clientConn) prepare(head *h1.Head, arrived time.Time) (*request, *answer) {
+	r := &request{head: head, arrived: arrived}
+	refuse := func(status int, why string) (*request, *answer) {
+		return r, &answer{status: status, why: why, closes: status == 400 || status == 413 || status == 408}
+	}
+	framing, err := head.RequestBody()
+	if err != nil {
+		var e *h1.Error
+		if errors.As(err, &e) {
+			return r, &answer{status: e.Status, why: e.Why, closes: true}
+		}
+		return refuse(400, err.Error())
+	}
+	if head.Count("Host") != 1 {
+		return refuse(400, "one Host is needed")
+	}
+	for _, name := range []string{"Attempt-Id", "Time-Budget-Ms", "Authorization"} {
+		if head.Count(name) > 1 {
+			return refuse(400, name+" stands there more than once")
+		}
+	}
+	v := c.g.view.Load()
+	if v == nil {
+		return c.skip(r, framing, &answer{status: 503, why: "no configuration yet", retryAfter: 500 * time.Millisecond})
+	}
+	path, _, _ := strings.Cut(head.Target, "?")
+	if r.route = v.route(head.Get("Host"), path); r.route == nil {
+		return c.skip(r, framing, &answer{status: 404, why: "no route"})
+	}
+	r.keyed = v.keys != nil
+	if r.keyed && !r.route.Anonymous {
+		scheme, key, _ := strings.Cut(head.Get("Authorization"), " ")
+		if !c.g.leased() {
+			return c.skip(r, framing, &answer{status: 503, why: "keys can't be checked now", retryAfter: 400 * time.Millisecond})
+		}
+		if r.tenant = v.keys[strings.TrimSpace(key)]; r.tenant == nil || !strings.EqualFold(scheme, "Token") {
+			return c.skip(r, framing, &answer{status: 401, why: "unknown key"})
+		}
+	}
+	r.budget = r.route.timeout
+	if text := head.Get("Time-Budget-Ms"); text != "" {
+		ms, err := strconv.ParseFloat(text, 64)
+		if err != nil || !(ms > 0) || ms > inMs(maxBudget) {
+			return refuse(400, "Time-Budget-Ms can't be read")
+		}
+		r.budget = min(r.budget, millis(ms))
+	}
+	r.deadline = arrived.Add(max(minBudget, r.budget))
+	if framing == 0 {
+		return r, nil
+	}
+	if framing > v.maxBody {
+		return refuse(413, "the body is too long")
+	}
+	if head.Has("Expect", "100-continue") && c.in.Buffered() == 0 {
+		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
+	}
+	c.nc.SetReadDeadline(r.deadline)
+	body := h1.NewBody(c.in, framing)
+	if framing > holdBody {
+		r.stream, r.length = body, framing
+		return r, nil
+	}
+	if framing >= 0 {
+		r.body = make([]byte, framing)
+		if _, err = io.ReadFull(body, r.body); err == nil {
+			return r, nil
+		}
+	} else {
+		if r.body, err = io.ReadAll(io.LimitReader(body, holdBody+1)); err == nil && len(r.body) > holdBody {
+			r.stream, r.length = body, h1.Chunks
+		}
+		if err == nil {
+			return r, nil
+		}
+	}
+	var e *h1.Error
+	if errors.As(err, &e) {
+		return refuse(e.Status, e.Why)
+	}
+	return refuse(408, "the body did not come in time")
+}
+
+// skip reads past the body of a request that is turned away, if it is short:
+// the connection can go on then.
+func (c *clientConn) skip(r *request, framing int64, a *answer) (*request, *answer) {
+	if framing != 0 {
+		c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		n, err := io.Copy(io.Discard, io.LimitReader(h1.NewBody(c.in, framing), holdBody+1))
+		a.closes = a.closes || err != nil || n > holdBody
+	}
+	return r, a
+}
+
+// respond works on a request and writes its answer when its turn has come. It
+// tells whether the connection ends with it.
+func (c *clientConn) respond(r *request, a *answer, turn <-chan struct{}, seq int) bool {
+	if a == nil {
+		c.g.inHand.Add(1)
+		a = c.g.handle(r)
+		c.g.inHand.Add(-1)
+	}
+	defer a.release()
+	<-turn
+	c.mu.Lock()
+	switch {
+	case c.closing: // one before has ended the connection
+		c.mu.Unlock()
+		return true
+	case r.head.Closes(), r.stream != nil && !r.stream.Done():
+		a.closes = true
+	case c.g.draining.Load() && seq == c.seq: // nothing was read behind it
+		a.closes = true
+	}
+	c.closing = a.closes
+	c.mu.Unlock()
+	if err := c.write(a, r.head); err != nil || a.closes {
+		c.mu.Lock()
+		c.closing = true
+		c.mu.Unlock()
+		c.end(err == nil)
+		return true
+	}
+	return false
+}
+
+// end closes the connection after its last answer. What the client still sends
+// must not make the system reset it before the answer is read.
+func (c *clientConn) end(whole bool) {
+	if t, ok := c.nc.(*net.TCPConn); ok && whole {
+		t.CloseWrite()
+		c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+		return
+	}
+	c.nc.Close()
+}
+
+// write writes an answer.
+func (c *clientConn) write(a *answer, req *h1.Head) error {
+	c.nc.SetWriteDeadline(time.Now().Add(writeFor))
+	return a.writeTo(c.nc, req)
+}
--- /dev/null
+++ b/dataplane/gateway.go
@@ -0,0 +1,288 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/silverscale/api"
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/internal/connpool"
+	"example.org/silverscale/settings"
+)
+
+const (
+	connectTimeout = 300 * time.Millisecond
+	// keepIdle bounds idle connections to servers; what a server's Keep-Alive says goes before.
+	keepIdle       = 7 * time.Second
+	reservedFDs    = 300
+	defaultFDs     = 1024
+	revokeMargin   = 500 * time.Millisecond
+	readyAfter     = 2500 * time.Millisecond // without a word of others: this limiter is alone
+	listenersClose = 2600 * time.Millisecond // after SIGTERM: the platform has noticed by then
+	graceSpare     = 700 * time.Millisecond
+)
+
+// Gateway is the data plane of one process.
+type Gateway struct {
+	cfg   *settings.Node
+	log   *slog.Logger
+	start time.Time
+	life  uint64
+	self  uint64 // hash of the name
+	pool  *connpool.Pool[string]
+	lease time.Duration // how long a grant holds; 0: none is needed
+
+	view     atomic.Pointer[view]
+	leaseTo  atomic.Int64 // time since start, in ns, until which keyed requests are served
+	draining atomic.Bool
+	inHand   atomic.Int64
+	met      atomic.Bool // other limiters were heard of, or there are none
+
+	mu      sync.Mutex // over the following
+	rng     *rand.Rand
+	quota   *quota.Set
+	balance *balance.Set
+	retries map[string]float64 // further tries saved up, by service
+	peers   map[uint64]*peer
+	zoned   []*peer
+	conns   map[*clientConn]struct{}
+	servers uint64 // version of the list
+
+	udp     *net.UDPConn
+	front   net.Listener
+	ready   *http.Server
+	readyOn net.Listener
+	tasks   sync.WaitGroup
+}
+
+// peer is another limiter.
+type peer struct {
+	id    uint64
+	addr  netip.AddrPort
+	zone  string
+	hints map[uint32]balance.Hint // not told yet
+	due   []quota.Spent
+	sent  time.Duration
+}
+
+// New returns a gateway that listens. It is not ready before it has a
+// configuration, servers and, where keys are strictly revoked, a lease.
+func New(cfg *settings.Node, seed uint64, log *slog.Logger) (*Gateway, error) {
+	g := &Gateway{cfg: cfg, log: log, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
+		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), retries: map[string]float64{}, peers: map[uint64]*peer{},
+		conns: map[*clientConn]struct{}{}}
+	fds := cfg.Limits.MaxFDs
+	if fds == 0 {
+		fds = defaultFDs
+	}
+	g.pool = connpool.New[string]((fds-reservedFDs)/2, connectTimeout, keepIdle)
+	g.quota = quota.New(0)
+	g.balance = balance.New(cfg.Zone, g.self, seed)
+	if cfg.Timing.StrictRevocation {
+		g.lease = settings.Millis(cfg.Timing.RevokeMs) - revokeMargin
+	}
+	var err error
+	if g.front, err = net.Listen("tcp", cfg.Listeners.Front); err != nil {
+		return nil, fmt.Errorf("listeners.front_port: %w", err)
+	}
+	if g.readyOn, err = net.Listen("tcp", cfg.Listeners.Ready); err != nil {
+		return nil, errors.Join(fmt.Errorf("listeners.ready_port: %w", err), g.front.Close())
+	}
+	at, err := netip.ParseAddrPort(cfg.InternalAddr())
+	if err == nil {
+		g.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+	}
+	if err != nil {
+		return nil, errors.Join(fmt.Errorf("internal_port_range: %w", err), g.front.Close(), g.readyOn.Close())
+	}
+	g.ready = &http.Server{Handler: http.HandlerFunc(g.readiness), ReadHeaderTimeout: 2 * time.Second, IdleTimeout: 5 * time.Second,
+		ErrorLog: slog.NewLogLogger(log.Handler(), slog.LevelDebug)}
+	return g, nil
+}
+
+// now is the time since the start, on the steady clock.
+func (g *Gateway) now() time.Duration { return time.Since(g.start) }
+
+func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
+
+// Ready tells whether new connections are welcome.
+func (g *Gateway) Ready() bool { return !g.draining.Load() && g.able() }
+
+func (g *Gateway) able() bool {
+	g.mu.Lock()
+	listed := g.servers != 0
+	g.mu.Unlock()
+	return g.view.Load() != nil && listed && g.leased() && (g.met.Load() || g.now() > readyAfter)
+}
+
+// leased tells whether keyed requests may be served now.
+func (g *Gateway) leased() bool { return g.lease == 0 || int64(g.now()) < g.leaseTo.Load() }
+
+func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
+	if !g.Ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// Run serves until the context ends, then finishes what it has taken.
+func (g *Gateway) Run(ctx context.Context) {
+	work, stop := context.WithCancel(context.Background())
+	g.tasks.Go(func() { g.pool.Sweep(work) })
+	g.tasks.Go(func() { g.gossip(work) })
+	g.tasks.Go(func() { g.hear(work) })
+	g.tasks.Go(func() { g.ready.Serve(g.readyOn) })
+	g.tasks.Go(g.accept)
+	<-ctx.Done()
+	g.drain()
+	stop()
+	g.ready.Close()
+	g.udp.Close()
+	g.tasks.Wait()
+}
+
+// drain leaves in order: not ready at once, but taking what still comes until
+// the platform has noticed; answers say that the connection closes.
+func (g *Gateway) drain() {
+	begun := time.Now()
+	g.draining.Store(true)
+	g.log.Info("draining", "in_hand", g.inHand.Load())
+	time.Sleep(listenersClose)
+	g.front.Close()
+	end := begun.Add(time.Duration(g.cfg.Timing.GraceS*float64(time.Second)) - graceSpare)
+	for time.Now().Before(end) {
+		g.wakeIdle()
+		g.mu.Lock()
+		n := len(g.conns)
+		g.mu.Unlock()
+		if n == 0 {
+			break
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
+	g.mu.Lock()
+	for c := range g.conns {
+		c.nc.Close()
+	}
+	g.mu.Unlock()
+	g.log.Info("drained", "after_ms", time.Since(begun).Milliseconds(), "in_hand", g.inHand.Load())
+}
+
+// wakeIdle ends connections that wait for a request.
+func (g *Gateway) wakeIdle() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	for c := range g.conns {
+		c.wakeIfIdle()
+	}
+}
+
+// SetConfig takes over a configuration. An older one than is there is ignored.
+func (g *Gateway) SetConfig(c *api.Config) {
+	if v := g.view.Load(); v != nil && v.revision >= c.Revision {
+		return
+	}
+	v := newView(c)
+	g.mu.Lock()
+	g.quota.Plans(inMs(g.now()), v.plans)
+	g.mu.Unlock()
+	g.view.Store(v)
+	g.log.Info("configuration", "revision", c.Revision, "routes", len(c.Routes), "tenants", len(c.Tenants))
+}
+
+// Revision is the version in force, 0 if none.
+func (g *Gateway) Revision() uint64 {
+	if v := g.view.Load(); v != nil {
+		return v.revision
+	}
+	return 0
+}
+
+// Grant extends the lease of a limiter that asked at a time since the start.
+func (g *Gateway) Grant(asked time.Duration) {
+	g.leaseTo.Store(max(g.leaseTo.Load(), int64(asked+g.lease)))
+}
+
+// Since returns the time since the start, for Grant.
+func (g *Gateway) Since() time.Duration { return g.now() }
+
+// Servers is the version of the list that is held; SetServers takes one over.
+func (g *Gateway) Servers() uint64 {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.servers
+}
+
+// SetServers takes over a list of servers. Version 0 is a list that this
+// limiter asked the platform for itself.
+func (g *Gateway) SetServers(version uint64, list []api.Server) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if version != 0 && version <= g.servers {
+		return
+	}
+	g.servers = max(g.servers, version, 1)
+	g.balance.Update(inMs(g.now()), list)
+	listed := make(map[string]bool, len(list))
+	for _, s := range list {
+		listed[s.ID] = true
+		g.pool.Update(s.ID, s.Addr, 0, s.State != api.Draining)
+	}
+	g.pool.KeepOnly(listed)
+	g.log.Debug("servers", "version", version, "n", len(list))
+}
+
+// SetPeers takes over which processes there are.
+func (g *Gateway) SetPeers(all []api.Peer) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	var ids, zone []uint64
+	is := map[uint64]bool{}
+	g.zoned = g.zoned[:0]
+	for _, p := range all {
+		if p.Name == g.cfg.Name || !p.Edge || p.State == 2 {
+			continue
+		}
+		addr, err := netip.ParseAddrPort(p.Addr)
+		if err != nil {
+			continue
+		}
+		id := xxhash.Sum64String(p.Name)
+		x := g.peers[id]
+		if x == nil {
+			x = &peer{id: id, hints: map[uint32]balance.Hint{}}
+			g.peers[id] = x
+		}
+		x.addr, x.zone, is[id] = addr, p.Zone, true
+		ids = append(ids, id)
+		if p.Zone == g.cfg.Zone {
+			zone = append(zone, id)
+		}
+	}
+	for id := range g.peers {
+		if !is[id] {
+			delete(g.peers, id)
+		}
+	}
+	g.quota.Members(inMs(g.now()), ids)
+	g.balance.Peers(zone)
+	if len(all) > 1 {
+		g.met.Store(true)
+	}
+}
+
+// Settings takes over what a changed settings file may change while it runs.
+func (g *Gateway) Settings(n *settings.Node) {
+	g.log.Info("settings read again", "cloud", n.Cloud.Address, "seeds", len(n.Seeds))
+}
--- /dev/null
+++ b/dataplane/h1/head.go
@@ -0,0 +1,244 @@
+// Package h1 reads and writes HTTP/1.1 (RFC 9112), strictly: what two readers
+// could take differently is an error, as a request could be hidden in it.
+package h1
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// Error is a malformed message, with the status that answers it.
+type Error struct {
+	Status int
+	Why    string
+}
+
+func (e *Error) Error() string { return e.Why }
+
+func bad(format string, args ...any) error { return &Error{400, fmt.Sprintf(format, args...)} }
+
+// Field is one header field.
+type Field struct{ Name, Value string }
+
+// Head is the head of a request or an answer.
+type Head struct {
+	Method, Target string // of a request
+	Status         int    // of an answer
+	Old            bool   // HTTP/1.0
+	Fields         []Field
+}
+
+// Get returns the first value of a field, by its name in any case.
+func (h *Head) Get(name string) string {
+	for i := range h.Fields {
+		if strings.EqualFold(h.Fields[i].Name, name) {
+			return h.Fields[i].Value
+		}
+	}
+	return ""
+}
+
+// Count returns how often a field stands there.
+func (h *Head) Count(name string) (n int) {
+	for i := range h.Fields {
+		if strings.EqualFold(h.Fields[i].Name, name) {
+			n++
+		}
+	}
+	return n
+}
+
+// Has tells whether a list field holds a token.
+func (h *Head) Has(name, token string) bool {
+	for i := range h.Fields {
+		if strings.EqualFold(h.Fields[i].Name, name) {
+			for t := range strings.SplitSeq(h.Fields[i].Value, ",") {
+				if strings.EqualFold(strings.TrimSpace(t), token) {
+					return true
+				}
+			}
+		}
+	}
+	return false
+}
+
+// readLines reads up to and with the empty line, bounded.
+func readLines(r *bufio.Reader, most int, tooLong error) (string, error) {
+	var all []byte
+	for {
+		line, err := r.ReadSlice('\n')
+		if len(all)+len(line) > most {
+			return "", tooLong
+		}
+		all = append(all, line...)
+		if errors.Is(err, bufio.ErrBufferFull) {
+			continue
+		}
+		if err != nil {
+			return "", err
+		}
+		n := len(all)
+		switch {
+		case n < 2 || all[n-2] != '\r':
+			return "", bad("a line does not end with CR LF")
+		case n == 2: // an empty line before the first one (RFC 9112, 2.2)
+			all = all[:0]
+			most -= 2
+		case n >= 4 && all[n-4] == '\r' && all[n-3] == '\n':
+			return string(all[:n-2]), nil
+		}
+	}
+}
+
+// ReadRequest reads the head of a request of so many bytes at most.
+func ReadRequest(r *bufio.Reader, most int) (*Head, error) {
+	text, err := readLines(r, most, &Error{431, "the head is too long"})
+	if err != nil {
+		return nil, err
+	}
+	line, rest, _ := strings.Cut(text, "\r\n")
+	method, line, ok1 := strings.Cut(line, " ")
+	target, proto, ok2 := strings.Cut(line, " ")
+	h := &Head{Method: method, Target: target}
+	switch {
+	case !ok1 || !ok2 || !token(method) || target == "" || !visible(target):
+		return nil, bad("the request line can't be read")
+	case proto == "HTTP/1.0":
+		h.Old = true
+	case proto != "HTTP/1.1":
+		return nil, &Error{505, "HTTP/1.1 is needed"}
+	}
+	if h.Fields, err = fields(rest); err != nil {
+		return nil, err
+	}
+	return h, nil
+}
+
+// ReadAnswer reads the head of an answer, passing over those that only announce it.
+func ReadAnswer(r *bufio.Reader, most int) (*Head, error) {
+	for {
+		text, err := readLines(r, most, errors.New("the answer's head is too long"))
+		if err != nil {
+			return nil, err
+		}
+		line, rest, _ := strings.Cut(text, "\r\n")
+		h := &Head{Old: strings.HasPrefix(line, "HTTP/1.0 ")}
+		if !h.Old && !strings.HasPrefix(line, "HTTP/1.1 ") || len(line) < 12 || len(line) > 12 && line[12] != ' ' {
+			return nil, bad("the status line can't be read")
+		}
+		if h.Status, err = strconv.Atoi(line[9:12]); err != nil || h.Status < 100 || h.Status > 599 {
+			return nil, bad("the status %q", line[9:12])
+		}
+		if h.Fields, err = fields(rest); err != nil {
+			return nil, err
+		}
+		if h.Status >= 200 {
+			return h, nil
+		}
+		if h.Status == 101 {
+			return nil, bad("a switch of protocols that nobody asked for")
+		}
+	}
+}
+
+func fields(text string) ([]Field, error) {
+	out := make([]Field, 0, strings.Count(text, "\r\n"))
+	for text != "" {
+		var line string
+		line, text, _ = strings.Cut(text, "\r\n")
+		name, value, ok := strings.Cut(line, ":")
+		if !ok || !token(name) { // also a folded line, and a space before the colon
+			return nil, bad("a header field's name can't be read")
+		}
+		value = strings.Trim(value, " \t")
+		for i := range len(value) {
+			if c := value[i]; c < ' ' && c != '\t' || c == 0x7f {
+				return nil, bad("the value of %s holds a control character", name)
+			}
+		}
+		out = append(out, Field{name, value})
+	}
+	return out, nil
+}
+
+func token(s string) bool {
+	for i := range len(s) {
+		c := s[i]
+		if !(c >= 'a' && c <= 'z' || c >= 'A' && c <= 'Z' || c >= '0' && c <= '9') && !strings.ContainsRune("!#$%&'*+-.^_`|~", rune(c)) {
+			return false
+		}
+	}
+	return s != ""
+}
+
+func visible(s string) bool {
+	for i := range len(s) {
+		if s[i] <= ' ' || s[i] > '~' {
+			return false
+		}
+	}
+	return true
+}
+
+// Body tells how a body is framed: a length of 0 or more, or -1 for chunks,
+// or -2 for an answer that ends with its connection.
+const (
+	Chunks   = -1
+	TillEnds = -2
+)
+
+// RequestBody returns the framing of a request's body.
+func (h *Head) RequestBody() (int64, error) {
+	n, framed, err := h.framing()
+	if err != nil || framed {
+		return n, err
+	}
+	return 0, nil
+}
+
+// AnswerBody returns the framing of the body of an answer to a method.
+func (h *Head) AnswerBody(method string) (int64, error) {
+	n, framed, err := h.framing()
+	switch {
+	case err != nil:
+		return 0, err
+	case method == "HEAD" || h.Status == 204 || h.Status == 304:
+		return 0, nil
+	case framed:
+		return n, nil
+	}
+	return TillEnds, nil
+}
+
+func (h *Head) framing() (n int64, framed bool, err error) {
+	te, cl := h.Count("Transfer-Encoding"), h.Count("Content-Length")
+	switch {
+	case te > 0 && cl > 0:
+		return 0, false, bad("both Content-Length and Transfer-Encoding")
+	case te > 1 || cl > 1:
+		return 0, false, bad("Content-Length or Transfer-Encoding stands there twice")
+	case te == 1 && h.Old:
+		return 0, false, bad("Transfer-Encoding in HTTP/1.0")
+	case te == 1:
+		if !strings.EqualFold(h.Get("Transfer-Encoding"), "chunked") {
+			return 0, false, &Error{501, "a Transfer-Encoding other than chunked"}
+		}
+		return Chunks, true, nil
+	case cl == 1:
+		v := h.Get("Content-Length")
+		if len(v) == 0 || len(v) > 18 || strings.Trim(v, "0123456789") != "" {
+			return 0, false, bad("Content-Length %q", v)
+		}
+		n, err = strconv.ParseInt(v, 10, 64)
+		return n, true, err
+	}
+	return 0, false, nil
+}
+
+// Closes tells that the sender closes the connection after this message.
+func (h *Head) Closes() bool {
+	return h.Has("Connection", "close") || h.Old && !h.Has("Connection", "keep-alive")
+}
--- /dev/null
+++ b/dataplane/quota/quota.go
@@ -0,0 +1,209 @@
+// Package quota holds one token bucket for each tenant, by the design: it is
+// refilled continuously at the plan's global rate, capped at the burst, and
+// pays for what this limiter admits and what others tell of, below nought too.
+// It reads no clock and does no I/O; times are in milliseconds on the host's
+// steady clock.
+//
+// A limiter that does not hear some others must not spend their part: of n
+// limiters each owns one n-th of rate and burst in escrow, and a group that
+// hears each other has the parts of its members. The sum over any groups is
+// never above the plan.
+package quota
+
+import (
+	"math"
+
+	"example.org/silverscale/bucket"
+)
+
+const (
+	// FreshMs is how long a limiter counts as heard after a word of it.
+	FreshMs = 900.0
+	// ForgetMs is how long the part of a limiter that is gone is kept back: longer
+	// than it could go on by itself without news from the core.
+	ForgetMs = 6000.0
+	lowShare = 0.5 // of the burst: below it, tenants are told of oftener
+	oftenMs  = 60.0
+	seldomMs = 250.0
+)
+
+// Plan is a tenant's quota over all limiters: requests a second and the most
+// that the bucket holds. A rate of 0 is no limit.
+type Plan struct{ Rate, Burst float64 }
+
+// Set holds the buckets of one limiter. It is not safe for concurrent use.
+type Set struct {
+	startMs float64
+	tenants map[uint64]*tenant
+	peers   map[uint64]*peer // other limiters, by the hash of their names
+}
+
+type tenant struct {
+	plan    Plan
+	balance float64
+	at      float64
+	spent   uint64 // admitted here since the start
+	told    uint64
+	toldAt  float64
+	again   bool // told once, to be told again against loss
+}
+
+type peer struct {
+	life    uint64
+	heardAt float64
+	goneAt  float64 // not a member since; 0: it is one
+	spent   map[uint64]uint64
+}
+
+// New returns a set of a limiter that starts now.
+func New(now float64) *Set {
+	return &Set{startMs: now, tenants: map[uint64]*tenant{}, peers: map[uint64]*peer{}}
+}
+
+// Plans takes over the plans of a new configuration. A bucket that runs goes on
+// with what it holds, at most the new burst: a version gives nobody a fresh burst.
+func (s *Set) Plans(now float64, plans map[uint64]Plan) {
+	for id, t := range s.tenants {
+		p, ok := plans[id]
+		if !ok {
+			delete(s.tenants, id)
+			continue
+		}
+		s.refill(now, t)
+		if t.plan.Rate == 0 && p.Rate > 0 { // was without a limit: nothing was saved up
+			t.balance = 0
+		}
+		t.plan, t.balance = p, min(t.balance, p.Burst)
+	}
+	for id, p := range plans {
+		if s.tenants[id] == nil {
+			n := float64(len(s.peers) + 1)
+			s.tenants[id] = &tenant{plan: p, at: now, balance: min(p.Burst, p.Burst/n+p.Rate*(now-s.startMs)/1000)}
+		}
+	}
+}
+
+// Members says which other limiters there are.
+func (s *Set) Members(now float64, ids []uint64) {
+	is := make(map[uint64]bool, len(ids))
+	for _, id := range ids {
+		is[id] = true
+		p := s.peers[id]
+		if p == nil {
+			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1)}
+			s.peers[id] = p
+		}
+		p.goneAt = 0
+	}
+	for id, p := range s.peers {
+		switch {
+		case is[id]:
+		case p.goneAt == 0:
+			p.goneAt = max(now, 1)
+		case now-p.goneAt > ForgetMs:
+			delete(s.peers, id)
+		}
+	}
+}
+
+// part is the share of each quota that this limiter may use with those it hears.
+func (s *Set) part(now float64) float64 {
+	heard, all := 1.0, 1.0
+	for _, p := range s.peers {
+		all++
+		if now-p.heardAt <= FreshMs {
+			heard++
+		}
+	}
+	return heard / all
+}
+
+func (s *Set) refill(now float64, t *tenant) {
+	part := s.part(now)
+	t.balance = bucket.Refill(t.balance, (now-t.at)/1000, t.plan.Rate*part, t.plan.Burst*part)
+	t.at = now
+}
+
+// Admit takes one request's unit, or tells after how many milliseconds there
+// will be one, as far as known here.
+func (s *Set) Admit(now float64, id uint64) (waitMs float64, ok bool) {
+	t := s.tenants[id]
+	if t == nil || t.plan.Rate <= 0 {
+		return 0, true
+	}
+	s.refill(now, t)
+	if t.balance < 1 {
+		return 1000 * bucket.Wait(t.balance, 1, t.plan.Rate*s.part(now)), false
+	}
+	t.balance--
+	t.spent++
+	return 0, true
+}
+
+// Spent is what is told of one tenant: all that was admitted since the start.
+type Spent struct {
+	Tenant uint64
+	Units  uint64
+}
+
+// Report lists the tenants that are to be told of now: those with news, oftener
+// the less is left. Each figure is told once more, against loss.
+func (s *Set) Report(now float64, out []Spent) []Spent {
+	for id, t := range s.tenants {
+		if t.plan.Rate <= 0 || t.spent == t.told && !t.again {
+			continue
+		}
+		s.refill(now, t)
+		pause := seldomMs
+		if t.balance < lowShare*t.plan.Burst {
+			pause = oftenMs
+		}
+		if now-t.toldAt < pause {
+			continue
+		}
+		t.again = t.spent != t.told
+		t.told, t.toldAt = t.spent, now
+		out = append(out, Spent{id, t.spent})
+	}
+	return out
+}
+
+// Heard takes in the word of another limiter: which start of it speaks, for
+// how long that has run, and what it has spent. Figures are cumulative, so that
+// the next message heals a lost one.
+func (s *Set) Heard(now float64, from, life uint64, ageMs float64, spent []Spent) {
+	p := s.peers[from]
+	if p == nil {
+		return
+	}
+	if p.life != life {
+		p.life = life
+		clear(p.spent)
+	}
+	p.heardAt = now
+	for _, e := range spent {
+		t := s.tenants[e.Tenant]
+		if t == nil {
+			continue
+		}
+		before, known := p.spent[e.Tenant]
+		if !known && ageMs > now-s.startMs { // it has run for longer: what it spent before is past
+			before = e.Units
+		}
+		p.spent[e.Tenant] = max(before, e.Units)
+		if e.Units > before {
+			s.refill(now, t)
+			t.balance = bucket.Draw(t.balance, float64(e.Units-before), -t.plan.Burst-t.plan.Rate)
+		}
+	}
+}
+
+// Balance returns what a tenant's bucket holds, for reports.
+func (s *Set) Balance(now float64, id uint64) float64 {
+	t := s.tenants[id]
+	if t == nil {
+		return 0
+	}
+	s.refill(now, t)
+	return t.balance
+}
--- a/limiter.go
+++ b/limiter.go
@@ -9,6 +9,8 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+
+	"example.org/silverscale/bucket"
 )
 
 const (
@@ -186,7 +188,7 @@
 func (l *Limiter) refill(now float64, c *customer) {
 	p, s := l.cfg.Plans[c.plan], (now-c.at)/1000
 	c.at = now
-	c.balance = min(p.Burst, c.balance+s*p.Rate)
+	c.balance = bucket.Refill(c.balance, s, p.Rate, p.Burst)
 	if c.spread > 0 {
 		part := c.part()
 		for k := range c.shares {
@@ -262,7 +264,7 @@
 	// In a large set others pass what is not known here yet: below the margin told
 	// with a level, the lower it is the less passes. A full bucket has no margin.
 	if p.Rate > 0 && c.balance < units+min(c.margin, p.Burst-c.balance)*l.rng.Float64() {
-		wait = (units - c.balance) / p.Rate * 1000
+		wait = bucket.Wait(c.balance, units, p.Rate) * 1000
 	}
 	// The ceiling is held by escrow: each gateway of the set owns an equal
 	// part of its store and rate, so that the sum of all never exceeds it,
@@ -1140,7 +1142,7 @@
 		v.heard = 0
 	}
 	if units := float64(en.spent-v.heard) / unitScale; units > 0 {
-		c.balance = max(c.balance-units, min(c.balance, l.floor(c)))
+		c.balance = bucket.Draw(c.balance, units, l.floor(c))
 		c.fade(now)
 		c.flow += min(units, l.cfg.Plans[c.plan].Burst)
 		c.seenAt = now
--- /dev/null
+++ b/membership/service.go
@@ -0,0 +1,157 @@
+package membership
+
+import (
+	"context"
+	"log/slog"
+	"math/rand/v2"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/silverscale/api"
+)
+
+const (
+	beatEvery   = 500 * time.Millisecond
+	beatTimeout = 450 * time.Millisecond
+	joinMost    = 3 // seeds asked at once
+)
+
+// Service is the host of a [View]: it sends and answers heartbeats.
+type Service struct {
+	conns *api.Conns
+	log   *slog.Logger
+	rng   *rand.Rand
+	start time.Time
+	seeds func() []string // internal addresses
+
+	mu     sync.Mutex
+	view   *View
+	active map[string]bool // beats that are out, by address
+	onNews func([]api.Peer)
+	told   uint64
+	tasks  sync.WaitGroup
+}
+
+// New returns a service. onNews is told of all processes whenever something changes.
+func New(self api.Peer, seeds func() []string, conns *api.Conns, seed uint64, log *slog.Logger, onNews func([]api.Peer)) *Service {
+	return &Service{conns: conns, log: log, rng: rand.New(rand.NewPCG(seed, 0xbea7)), start: time.Now(), seeds: seeds,
+		view: NewView(self), active: map[string]bool{}, onNews: onNews}
+}
+
+func (s *Service) now() time.Duration { return time.Since(s.start) + time.Nanosecond }
+
+// Run sends heartbeats until the context ends.
+func (s *Service) Run(ctx context.Context) {
+	defer s.tasks.Wait()
+	for ctx.Err() == nil {
+		s.beatAll(ctx)
+		s.mu.Lock()
+		pause := beatEvery*9/10 + time.Duration(s.rng.Int64N(int64(beatEvery/5)))
+		if len(s.view.peers) == 0 {
+			pause = beatEvery / 5
+		}
+		s.mu.Unlock()
+		t := time.NewTimer(pause)
+		select {
+		case <-ctx.Done():
+			t.Stop()
+		case <-t.C:
+		}
+	}
+}
+
+// Leave tells the watchers that this process is leaving.
+func (s *Service) Leave(ctx context.Context) {
+	s.mu.Lock()
+	s.view.Leave()
+	s.mu.Unlock()
+	s.beatAll(ctx)
+}
+
+// Peers returns all known processes.
+func (s *Service) Peers() []api.Peer {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.view.All()
+}
+
+func (s *Service) beatAll(ctx context.Context) {
+	s.mu.Lock()
+	for _, name := range s.view.Check(s.now()) {
+		s.log.Warn("a process was not heard of", "peer", name)
+	}
+	var to []string
+	for _, name := range s.view.Watchers(s.view.self.Name) {
+		if p, ok := s.view.Peer(name); ok {
+			to = append(to, p.Addr)
+		}
+	}
+	if len(to) == 0 { // alone: through any seed that lives
+		seeds := slices.Clone(s.seeds())
+		s.rng.Shuffle(len(seeds), func(i, j int) { seeds[i], seeds[j] = seeds[j], seeds[i] })
+		to = append(to, seeds[:min(joinMost, len(seeds))]...)
+	}
+	b := &api.Beat{From: s.view.Self(), Digest: s.view.Digest()}
+	for _, addr := range to {
+		if addr != s.view.self.Addr && !s.active[addr] {
+			s.active[addr] = true
+			s.tasks.Go(func() { s.beat(ctx, addr, b) })
+		}
+	}
+	s.news()
+	s.mu.Unlock()
+}
+
+// beat sends one heartbeat, and all that is known where the views differ.
+func (s *Service) beat(ctx context.Context, addr string, b *api.Beat) {
+	defer func() {
+		s.mu.Lock()
+		delete(s.active, addr)
+		s.mu.Unlock()
+	}()
+	for range 2 {
+		conn, err := s.conns.To(addr)
+		if err != nil {
+			return
+		}
+		call, cancel := context.WithTimeout(ctx, beatTimeout)
+		r, err := api.CallBeat(call, conn, b)
+		cancel()
+		if err != nil {
+			s.log.Debug("a heartbeat was not answered", "addr", addr, "err", err)
+			return
+		}
+		s.mu.Lock()
+		s.view.Merge(s.now(), r.Peers)
+		s.news()
+		same := s.view.Digest() == r.Digest
+		b = &api.Beat{From: s.view.Self(), Digest: s.view.Digest(), Peers: s.view.All()}
+		s.mu.Unlock()
+		if same {
+			return
+		}
+	}
+}
+
+// Beat answers a heartbeat.
+func (s *Service) Beat(_ context.Context, b *api.Beat) (*api.BeatReply, error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.view.Heard(s.now(), b.From)
+	s.view.Merge(s.now(), b.Peers)
+	s.news()
+	r := &api.BeatReply{Digest: s.view.Digest()}
+	if r.Digest != b.Digest {
+		r.Peers = s.view.All()
+	}
+	return r, nil
+}
+
+// news tells of a changed view. Called under the mutex.
+func (s *Service) news() {
+	if s.told != s.view.Changed {
+		s.told = s.view.Changed
+		s.onNews(s.view.All())
+	}
+}
--- /dev/null
+++ b/process/news.go
@@ -0,0 +1,139 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"example.org/silverscale/api"
+	"example.org/silverscale/discovery"
+)
+
+const (
+	watchWait    = time.Second // an answer without news
+	watchTimeout = watchWait + 1200*time.Millisecond
+	firstWait    = 60 * time.Millisecond // between two tries at a core that does not answer ...
+	longestWait  = 400 * time.Millisecond
+	listEvery    = time.Second // the leader asks the platform
+	silentFor    = 2500 * time.Millisecond
+	busyPause    = 500 * time.Millisecond
+	ownEvery     = 3 * time.Second // a limiter that hears no leader asks for itself
+)
+
+// watch asks the core with the versions that are held here, and takes in what
+// it answers, until the context ends.
+func (p *Process) watch(ctx context.Context) {
+	pause := firstWait
+	for ctx.Err() == nil {
+		ok := p.ask(ctx)
+		if ok {
+			pause = firstWait
+			continue
+		}
+		sleep(ctx, pause/2+time.Duration(p.rng.Int64N(int64(pause))))
+		pause = min(2*pause, longestWait)
+	}
+}
+
+// ask asks once. It tells whether it was answered with a lease.
+func (p *Process) ask(ctx context.Context) bool {
+	q := &api.Watch{Name: p.cfg.Load().Name, WaitMs: watchWait.Milliseconds()}
+	var asked time.Duration
+	if g := p.gateway; g != nil {
+		q.Revision, q.Servers, asked = g.Revision(), g.Servers(), g.Since()
+		if !g.Ready() { // a lease is needed at once
+			q.WaitMs = 0
+		}
+	} else {
+		asked = time.Since(p.start)
+	}
+	call, cancel := context.WithTimeout(ctx, watchTimeout)
+	defer cancel()
+	var n *api.News
+	var err error
+	addr := ""
+	if p.core != nil && p.core.Leads() {
+		n, err = p.core.Watch(call, q)
+	} else if addr = p.client.Next(); addr == "" {
+		return false
+	} else if conn, dialErr := p.conns.To(addr); dialErr != nil {
+		err = dialErr
+	} else {
+		n, err = api.CallWatch(call, conn, q)
+	}
+	if err != nil {
+		p.client.Failed(addr)
+		p.log.Debug("the core does not answer", "addr", addr, "err", err)
+		return false
+	}
+	p.client.Learn(n.Leader, n.Core)
+	if !n.Lease {
+		if n.Leader == addr {
+			p.client.Failed(addr)
+		}
+		return false
+	}
+	p.newsAt.Store(int64(time.Since(p.start)))
+	g := p.gateway
+	if g == nil {
+		return true
+	}
+	if n.Config != nil {
+		c, err := api.ParseConfig(n.Config)
+		if err != nil {
+			p.log.Error("the core's configuration can't be read", "revision", n.Revision, "err", err)
+			return false
+		}
+		g.SetConfig(c)
+	}
+	if n.Listed {
+		g.SetServers(n.Servers, n.List)
+	}
+	if g.Revision() >= n.Revision {
+		g.Grant(asked)
+	}
+	return true
+}
+
+// discover asks the platform for the servers: the leader for all, a limiter
+// for itself where it hears of no leader.
+func (p *Process) discover(ctx context.Context) {
+	last := time.Duration(0)
+	for ctx.Err() == nil {
+		sleep(ctx, listEvery/4)
+		now := time.Since(p.start)
+		leads := p.core != nil && p.core.Leads()
+		// All that hear no leader together stay within half of the platform's rate.
+		cfg := p.cfg.Load()
+		own := max(ownEvery, time.Duration(2*float64(p.peers.Load())/cfg.Cloud.RatePerS*float64(time.Second)))
+		switch {
+		case leads && now-last >= listEvery:
+		case !leads && p.gateway != nil && p.gateway.Revision() != 0 && now-time.Duration(p.newsAt.Load()) > silentFor && now-last >= own:
+		default:
+			continue
+		}
+		last = now
+		list, err := discovery.List(ctx, cfg.Cloud.Address)
+		if errors.Is(err, discovery.ErrBusy) {
+			sleep(ctx, busyPause+time.Duration(p.rng.Int64N(int64(busyPause))))
+		}
+		if err != nil {
+			p.log.Warn("the platform's list was not had", "err", err)
+			continue
+		}
+		if leads {
+			p.core.SetServers(list)
+		} else {
+			p.gateway.SetServers(0, list)
+		}
+	}
+}
+
+func sleep(ctx context.Context, d time.Duration) {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+}
--- /dev/null
+++ b/process/process.go
@@ -0,0 +1,238 @@
+// Package process puts the planes together into one process of the system: the
+// data plane where the role serves clients, the operator's interface where it
+// serves control, a member of the core where the machine has a disk as well.
+package process
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+	"google.golang.org/grpc"
+
+	"example.org/silverscale/agreement/logstore"
+	"example.org/silverscale/api"
+	"example.org/silverscale/controlplane"
+	"example.org/silverscale/dataplane"
+	"example.org/silverscale/membership"
+	"example.org/silverscale/settings"
+)
+
+const (
+	lookEvery   = time.Second // at the settings file, for changes without a signal
+	stopLinger  = 100 * time.Millisecond
+	headerTimes = 2 * time.Second
+	voters      = 3 // wanted, for one loss; two more for each further one
+)
+
+// Process is one running process.
+type Process struct {
+	path string
+	log  *slog.Logger
+	rng  *rand.Rand
+	cfg  atomic.Pointer[settings.Node]
+	look chan struct{}
+
+	conns   *api.Conns
+	client  *controlplane.Client
+	store   *logstore.Store
+	core    *controlplane.Core
+	gateway *dataplane.Gateway
+	members *membership.Service
+
+	internal  *grpc.Server
+	control   *http.Server
+	listening []net.Listener
+	peers     atomic.Int64 // limiters known
+	newsAt    atomic.Int64 // when the core last answered, since start
+	start     time.Time
+}
+
+// New opens what the settings file at a path asks for.
+func New(path string, log *slog.Logger) (*Process, error) {
+	cfg, err := settings.Read(path)
+	if err != nil {
+		return nil, err
+	}
+	seed := rand.Uint64()
+	p := &Process{path: path, log: log, rng: rand.New(rand.NewPCG(seed, 1)), look: make(chan struct{}, 1),
+		conns: api.NewConns(), start: time.Now()}
+	p.cfg.Store(cfg)
+	p.client = &controlplane.Client{Conns: p.conns, Log: log}
+	p.client.Learn("", cfg.SeedAddrs())
+	if err := p.open(cfg, seed); err != nil {
+		return nil, errors.Join(err, p.close())
+	}
+	return p, nil
+}
+
+func (p *Process) open(cfg *settings.Node, seed uint64) (err error) {
+	if cfg.Core() {
+		if p.store, err = logstore.Open(filepath.Join(cfg.DataDir, "log")); err != nil {
+			return err
+		}
+		p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
+			Bootstrap: cfg.Bootstrap, Voters: voters, Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
+		if err != nil {
+			return err
+		}
+		p.client.Local = p.core
+	}
+	if cfg.Serves("edge") {
+		if p.gateway, err = dataplane.New(cfg, seed, p.log); err != nil {
+			return err
+		}
+	}
+	self := api.Peer{Name: cfg.Name, Addr: cfg.InternalAddr(), Zone: cfg.Zone, Life: seed, Edge: cfg.Serves("edge"), Core: cfg.Core()}
+	if !cfg.Serves("edge") { // two processes of one machine have one node name
+		self.Name += "/" + cfg.Role
+	}
+	p.members = membership.New(self, func() []string { return p.cfg.Load().SeedAddrs() }, p.conns, seed, p.log, p.peersChanged)
+	p.internal = api.NewServer()
+	api.RegisterMembership(p.internal, p.members)
+	if p.core != nil {
+		api.RegisterControl(p.internal, p.core)
+	}
+	l, err := net.Listen("tcp", cfg.InternalAddr())
+	if err != nil {
+		return fmt.Errorf("internal_port_range: %w", err)
+	}
+	p.listening = append(p.listening, l)
+	if cfg.Serves("control") {
+		if l, err = net.Listen("tcp", cfg.Listeners.Control); err != nil {
+			return fmt.Errorf("listeners.control_port: %w", err)
+		}
+		p.listening = append(p.listening, l)
+		p.control = &http.Server{Handler: p.client.Handler(), ReadHeaderTimeout: headerTimes,
+			IdleTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)}
+	}
+	return nil
+}
+
+func (p *Process) close() error {
+	var errs []error
+	for _, l := range p.listening {
+		errs = append(errs, l.Close())
+	}
+	if p.store != nil {
+		errs = append(errs, p.store.Close())
+	}
+	return errors.Join(errs...)
+}
+
+// Reload has the settings file read again.
+func (p *Process) Reload() {
+	select {
+	case p.look <- struct{}{}:
+	default:
+	}
+}
+
+// Run serves until the context ends, then leaves in order.
+func (p *Process) Run(ctx context.Context) error {
+	work, stop := context.WithCancel(context.Background())
+	var tasks sync.WaitGroup
+	tasks.Go(func() { p.internal.Serve(p.listening[0]) })
+	if p.control != nil {
+		tasks.Go(func() { p.control.Serve(p.listening[1]) })
+	}
+	if p.core != nil {
+		tasks.Go(func() { p.core.Run(work) })
+	}
+	tasks.Go(func() { p.members.Run(work) })
+	tasks.Go(func() { p.watch(work) })
+	tasks.Go(func() { p.discover(work) })
+	tasks.Go(func() { p.reloads(work) })
+	p.log.Info("started", "name", p.cfg.Load().Name, "core", p.core != nil, "internal", p.cfg.Load().InternalAddr())
+	gone := context.AfterFunc(ctx, func() { // leadership goes on while the traffic is finished
+		if p.core != nil {
+			p.core.HandOver()
+		}
+		p.members.Leave(work)
+	})
+	defer gone()
+	if p.gateway != nil {
+		p.gateway.Run(ctx)
+	} else {
+		<-ctx.Done()
+		time.Sleep(stopLinger)
+	}
+	if p.control != nil {
+		end, cancel := context.WithTimeout(work, stopLinger)
+		p.control.Shutdown(end)
+		cancel()
+	}
+	stop()
+	p.internal.Stop()
+	if p.control != nil {
+		p.control.Close()
+	}
+	p.conns.Keep(func(string) bool { return false })
+	tasks.Wait()
+	if p.store != nil {
+		return p.store.Close()
+	}
+	return nil
+}
+
+func (p *Process) peersChanged(all []api.Peer) {
+	n := 0
+	for _, q := range all {
+		if q.Edge && q.State != membership.Dead {
+			n++
+		}
+	}
+	p.peers.Store(int64(max(1, n)))
+	if p.gateway != nil {
+		p.gateway.SetPeers(all)
+	}
+}
+
+// reloads reads the settings file again at a signal, or when it has changed.
+func (p *Process) reloads(ctx context.Context) {
+	t := time.NewTicker(lookEvery)
+	defer t.Stop()
+	sum := p.sum()
+	for {
+		forced := false
+		select {
+		case <-ctx.Done():
+			return
+		case <-p.look:
+			forced = true
+		case <-t.C:
+		}
+		now := p.sum()
+		if now == sum && !forced {
+			continue
+		}
+		cfg, err := settings.Read(p.path)
+		if err != nil {
+			p.log.Warn("kept the settings: the new ones can't be used", "err", err)
+			continue
+		}
+		sum = now
+		p.cfg.Store(cfg)
+		if p.gateway != nil {
+			p.gateway.Settings(cfg)
+		}
+	}
+}
+
+func (p *Process) sum() uint64 {
+	data, err := os.ReadFile(p.path)
+	if err != nil {
+		return 0
+	}
+	return xxhash.Sum64(data)
+}
