A joining member can answer its leader; a new watcher waits for the first beat

Ruled out: the log itself, the leader sent and the member received. Each Deliver now names its sender's address. A silent voter is replaced after 3 s instead of 8.

--- a/api/rpc.go
+++ b/api/rpc.go
@@ -95,6 +95,8 @@
 // Deliver carries messages of the agreement.
 type Deliver struct {
 	Messages []agreement.Message `cbor:"1,keyasint"`
+	From     agreement.ID        `cbor:"2,keyasint,omitempty"`
+	Addr     string              `cbor:"3,keyasint,omitempty"` // of the sender: one that just joins knows no other
 }
 
 // Peer is what is known of one process of the system.
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -25,13 +25,14 @@
 	heartbeatTicks = 2
 	// A voter that was not heard of for so long is replaced where another member
 	// stands by; one that stands by is dropped after dropTicks.
-	replaceTicks = 160
+	replaceTicks = 60
 	dropTicks    = 1200
 	tendTicks    = 4 // between two looks at the members
 	compactAt    = 64
 
 	deliverTimeout = 400 * time.Millisecond
 	sendQueue      = 128
+	mostSenders    = 64
 	confirmWait    = 700 * time.Millisecond
 	watchMost      = 5 * time.Second
 )
@@ -68,6 +69,7 @@
 	ticks    int
 	diskDown bool
 	queues   map[agreement.ID]chan agreement.Message
+	addrs    map[agreement.ID]string // of those who sent something, for answers to them
 	ctx      context.Context
 	tasks    sync.WaitGroup
 }
@@ -109,7 +111,7 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, id: id, result: map[uint64]*waiter{}, changed: make(chan struct{}), heard: make(chan struct{}),
-		queues: map[agreement.ID]chan agreement.Message{}}
+		queues: map[agreement.ID]chan agreement.Message{}, addrs: map[agreement.ID]string{}}
 	if err := c.restore(st.Snapshot); err != nil {
 		return nil, err
 	}
@@ -276,7 +278,7 @@
 func (c *Core) enqueue(m agreement.Message) {
 	q := c.queues[m.To]
 	if q == nil {
-		addr := ""
+		addr := c.addrs[m.To]
 		for _, x := range c.node.Members() {
 			if x.ID == m.To {
 				addr = x.Addr
@@ -301,7 +303,7 @@
 	idle := time.NewTimer(time.Minute)
 	defer idle.Stop()
 	for {
-		var d api.Deliver
+		d := api.Deliver{From: c.id, Addr: c.cfg.Addr}
 		idle.Reset(time.Minute)
 		select {
 		case <-c.ctx.Done():
@@ -341,6 +343,10 @@
 	if c.diskDown {
 		return &api.None{}, nil
 	}
+	if len(c.addrs) >= mostSenders {
+		clear(c.addrs)
+	}
+	c.addrs[d.From] = d.Addr
 	for _, m := range d.Messages {
 		c.node.Step(m)
 	}
--- a/membership/view.go
+++ b/membership/view.go
@@ -45,6 +45,7 @@
 	api.Peer
 	heardAt time.Duration // a beat came, or it became known
 	deadAt  time.Duration
+	watched bool // this process is one of its watchers
 }
 
 // NewView returns the view of a process that knows nobody.
@@ -172,13 +173,18 @@
 	v.beatAt = now
 	news := false
 	for name, r := range v.peers {
+		watched := slices.Contains(v.Watchers(name), v.self.Name)
+		if watched && !r.watched { // its beats come here only from now on
+			r.heardAt = now
+		}
+		r.watched = watched
 		switch {
 		case still:
 			r.heardAt = max(r.heardAt, now) // what was sent meanwhile was not heard
 		case r.State == Dead && now-r.deadAt > keepDead:
 			delete(v.peers, name)
 			news = true
-		case r.State != Dead && now-r.heardAt > deadAfter && slices.Contains(v.Watchers(name), v.self.Name):
+		case r.State != Dead && now-r.heardAt > deadAfter && watched:
 			r.State, r.deadAt = Dead, now
 			lost = append(lost, name)
 			news = true
