--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -26,6 +26,8 @@
 	ejectMost  = 8000.0
 	crossCost  = 0.08 // of typical work: what a server in another zone costs more
 	bulkCost   = 0.7  // ... where answers are large and bytes between zones are paid for
+	queueCost  = 1.8  // waiting counts more than work: it is what makes answers late
+	fillCost   = 0.2  // servers slow down when nearly full
 	otherCost  = 0.02 // a server that another limiter prefers
 	coldFactor = 2.0  // a cold server is so much slower, at the most
 	Failure    = 255  // in Hint.Took: the answer failed
@@ -153,8 +155,8 @@
 	}
 }
 
-// load is what is out at a server, here and elsewhere.
-func (m *Member) load(now float64) float64 {
+// Load is what is out at a server, here and elsewhere.
+func (m *Member) Load(now float64) float64 {
 	n := float64(m.out)
 	for id, t := range m.others {
 		if now-t.at > hintMs {
@@ -180,6 +182,7 @@
 	Service string
 	Bulk    bool // a large answer
 	LeftMs  float64
+	Idle    bool // only a server with room will do
 	Tried   []*Member
 }
 
@@ -198,11 +201,14 @@
 				pass == 1 && now < m.fullTo {
 				continue
 			}
-			c, load := float64(m.Capacity), m.load(now)
+			c, load := float64(m.Capacity), m.Load(now)
 			queued := max(0, load+1-c) / c
+			if r.Idle && load >= c {
+				continue
+			}
 			slow := m.slowness(now)
 			time := slow * (1 + queued)
-			cost := time + 0.05*load/c
+			cost := slow*(1+queueCost*queued) + fillCost*load/c
 			if m.Zone != s.zone {
 				if cost += crossCost; r.Bulk {
 					cost += bulkCost
@@ -217,7 +223,7 @@
 	switch {
 	case best == nil:
 		return nil, fullMs
-	case v.n > 0 && work*bestTime > r.LeftMs && best.load(now) >= float64(best.Capacity):
+	case v.n > 0 && work*bestTime > r.LeftMs && best.Load(now) >= float64(best.Capacity):
 		return nil, max(fullMs, work*bestTime-r.LeftMs)
 	}
 	return best, 0
@@ -240,6 +246,7 @@
 	Unsent               // nothing reached it: the connect failed
 	Given                // given up here: says nothing about the server
 	Moved                // another server stands at its address
+	Beaten               // given up as another answered first: it took at least as long
 )
 
 // Done notes how an attempt ended and how long it took.
@@ -257,6 +264,12 @@
 		ratio := tookMs / max(1, v.work)
 		took = uint8(max(1, min(tookScale*ratio, 254)))
 		s.observe(now, m, took)
+	case Beaten:
+		ratio := tookMs / max(1, m.service.work)
+		if ratio > m.slow {
+			took = uint8(max(1, min(tookScale*ratio, 254)))
+			s.observe(now, m, took)
+		}
 	case Full:
 		m.fullTo = now + fullMs
 	case Failed, Unsent:
@@ -324,6 +337,14 @@
 	}
 }
 
+// Work is the typical time of an answer of a service, 0 where there was none.
+func (s *Set) Work(service string) float64 {
+	if v := s.services[service]; v != nil {
+		return v.work
+	}
+	return 0
+}
+
 // Known tells whether any server of a service is known.
 func (s *Set) Known(service string) bool { return s.services[service] != nil }
 
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -12,6 +12,7 @@
 	"strings"
 	"time"
 
+	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/dataplane/h1"
 	"example.org/silverscale/internal/connpool"
@@ -48,86 +49,26 @@
 	service := r.route.service(g.rng.Float64())
 	g.retries[service] = min(retryMost, g.retries[service]+retryShare)
 	g.mu.Unlock()
-	choice := balance.Request{Service: service, Bulk: r.route.Type == "download"}
-	tries := max(1, r.route.Retries)
-	ran := false
-	var last *answer
-	for n := 0; n < tries; n++ {
-		left := time.Until(r.deadline)
-		if left <= 0 {
-			break
-		}
-		choice.LeftMs = inMs(left)
-		g.mu.Lock()
-		if ran { // a try that may have cost work comes out of what was saved up
-			if g.retries[service] < 1 {
-				g.mu.Unlock()
-				break
-			}
-			g.retries[service]--
-		}
-		m, wait := g.balance.Choose(inMs(g.now()), choice)
-		if m == nil {
-			g.mu.Unlock()
-			if !ran {
-				return &answer{status: 503, why: "no server can answer in time", retryAfter: max(leastAdvice, min(fullAdvice, millis(wait)))}
-			}
-			break
-		}
-		g.balance.Sent(m)
-		host := g.pool.Host(m.ID)
-		g.mu.Unlock()
-		sent := time.Now()
-		o := outcome{result: balance.Unsent}
-		if host != nil {
-			o = g.try(r, m, host)
-		}
-		g.mu.Lock()
-		g.balance.Done(inMs(g.now()), m, o.result, inMs(time.Since(sent)))
-		g.mu.Unlock()
-		if o.result != balance.Good {
-			g.log.Debug("try", "id", r.head.Get("Attempt-Id"), "n", n, "server", m.ID, "result", int(o.result), "ran", o.ran, "answered", o.answer != nil)
-		}
-		choice.Tried = append(choice.Tried, m)
-		ran = ran || o.ran
-		if o.answer != nil {
-			if o.result == balance.Good || !r.route.Repeatable() {
-				if last != nil {
-					last.release()
-				}
-				return o.answer
-			}
-			if last != nil {
-				last.release()
-			}
-			last = o.answer // a failure of the server's: another may do better
-		}
-		if ran && !r.route.Repeatable() || r.started {
-			break
-		}
-	}
-	switch {
-	case last != nil:
-		return last
-	case !ran && !r.started:
-		return &answer{status: 503, why: "no server took the request", retryAfter: fullAdvice}
-	case !time.Now().Before(r.deadline):
-		return &answer{status: 504, why: "the time is up"}
-	}
-	return &answer{status: 502, why: "no server gave an answer of use"}
+	f := &flight{g: g, r: r, most: max(1, r.route.Retries), ended: make(chan *attempt, max(1, r.route.Retries)),
+		choice: balance.Request{Service: service, Bulk: r.route.Type == api.Download}}
+	return f.run()
 }
 
 // try sends a request to one server and reads its answer.
-func (g *Gateway) try(r *request, m *balance.Member, host *connpool.Host[string]) outcome {
+func (g *Gateway) try(r *request, at *attempt, host *connpool.Host[string]) outcome {
+	m := at.member
 	for {
 		c := g.pool.Take(host)
 		kept := c != nil
 		if c == nil {
-			ctx, cancel := context.WithDeadline(context.Background(), r.deadline)
+			ctx, cancel := context.WithDeadline(at.ctx, r.deadline)
 			var err error
 			c, err = g.pool.Connect(ctx, host)
 			cancel()
 			if err != nil {
+				if at.ctx.Err() != nil {
+					return outcome{result: balance.Given}
+				}
 				if !errors.Is(err, connpool.ErrNoRoom) {
 					g.pool.Broken(host)
 				}
@@ -138,7 +79,14 @@
 			c.Close()
 			return outcome{result: balance.Moved}
 		}
+		stop := context.AfterFunc(at.ctx, c.Close)
 		o, stale := g.exchange(r, m, c)
+		if !stop() { // given up: its connection is closed
+			if o.answer != nil {
+				o.answer.release()
+			}
+			return outcome{result: balance.Beaten, ran: true}
+		}
 		if stale && kept {
 			continue
 		}
