--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -48,6 +48,13 @@
 	if left <= 0 || f.sent >= f.most {
 		return nil, false
 	}
+	// A queue that is longer than the aim allows serves nobody better: what is beyond
+	// is told at once to come back.
+	if aim := f.r.route.aim - time.Since(f.r.arrived); aim > 0 {
+		left = min(left, aim)
+	} else if f.r.route.aim > 0 {
+		left /= 2
+	}
 	f.choice.LeftMs, f.choice.Idle = inMs(left), hedge
 	g.mu.Lock()
 	at, a := f.choose(hedge)
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -41,7 +41,10 @@
 func (g *Gateway) handle(r *request) *answer {
 	g.mu.Lock()
 	if r.tenant != nil {
-		if wait, ok := g.quota.Admit(inMs(g.now()), r.tenant.id); !ok {
+		wait, ok := g.quota.Admit(inMs(g.now()), r.tenant.id)
+		g.log.Debug("quota", "id", r.head.Get("Attempt-Id"), "tenant", r.tenant.name, "admitted", ok, "wait_ms", wait,
+			"balance", g.quota.Balance(inMs(g.now()), r.tenant.id))
+		if !ok {
 			g.mu.Unlock()
 			return &answer{status: 429, why: "beyond the quota", retryAfter: max(leastAdvice, millis(wait))}
 		}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -198,6 +198,9 @@
 	g.quota.Plans(inMs(g.now()), v.plans)
 	g.mu.Unlock()
 	g.view.Store(v)
+	for _, t := range c.Tenants {
+		g.log.Debug("plan", "tenant", t.Name, "rate", t.Rate, "burst", t.Burst)
+	}
 	g.log.Info("configuration", "revision", c.Revision, "routes", len(c.Routes), "tenants", len(c.Tenants))
 }
 
