--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -7,6 +7,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"runtime"
 	"runtime/debug"
 	"syscall"
 
@@ -16,7 +17,7 @@
 	"example.org/silverscale/settings"
 )
 
-const gcPercent = 40 // memory is dearer than processor time
+const gcPercent = 15 // memory is dearer than processor time
 
 type commands struct {
 	Gateway gatewayCmd `cmd:"" help:"Run one process of the system, as the file that ELMSPAN_NODE_FILE names says."`
@@ -31,6 +32,7 @@
 	// From the very start on: Go's default action on SIGHUP ends the program.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
+	runtime.GOMAXPROCS(1) // a process has a share of one core; more would only cost memory
 	debug.SetGCPercent(gcPercent)
 	var c commands
 	k := kong.Parse(&c, kong.Name("elmspan"), kong.Description("A distributed rate limiter, load balancer and API gateway."), kong.UsageOnError())
