--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -43,6 +43,7 @@
 	self  uint64 // hash of the name
 	pool  *connpool.Pool[string]
 	lease time.Duration // how long a grant holds; 0: none is needed
+	open  time.Duration // how long connections are taken after SIGTERM
 
 	view     atomic.Pointer[view]
 	leaseTo  atomic.Int64 // time since start, in ns, until which keyed requests are served
@@ -82,7 +83,7 @@
 func New(cfg *settings.Node, seed uint64, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{cfg: cfg, log: log, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
 		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), retries: map[string]float64{}, peers: map[uint64]*peer{},
-		conns: map[*clientConn]struct{}{}}
+		conns: map[*clientConn]struct{}{}, open: listenersClose}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
 		fds = defaultFDs
@@ -158,7 +159,7 @@
 	begun := time.Now()
 	g.draining.Store(true)
 	g.log.Info("draining", "in_hand", g.inHand.Load())
-	time.Sleep(listenersClose)
+	time.Sleep(g.open)
 	g.front.Close()
 	end := begun.Add(time.Duration(g.cfg.Timing.GraceS*float64(time.Second)) - graceSpare)
 	for time.Now().Before(end) {
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -95,6 +95,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	g.open = 0
 	g.SetConfig(&api.Config{Revision: 1, Upstreams: []api.Upstream{{Name: "s"}},
 		Routes: []api.Route{
 			{Host: "h", Prefix: "/get/", Type: api.Idempotent, TimeoutMs: 3000, TargetMs: 2000, Upstream: "s", Retries: 2},
@@ -271,10 +272,10 @@
 			return false
 		},
 	} {
-		odd := true
+		var odd atomic.Bool
+		odd.Store(true)
 		either := func(w io.Writer, h *h1.Head, body []byte) bool { // whichever is asked first fails
-			if odd {
-				odd = false
+			if odd.Swap(false) {
 				return first(w, h, body)
 			}
 			return good("yes")(w, h, body)
@@ -284,7 +285,7 @@
 			c.send("GET /open/", "", "")
 			c.answer()
 		}
-		odd = true
+		odd.Store(true)
 		c.send("GET /get/", "", "")
 		if h, body, err := c.answer(); err != nil || h.Status != 200 || body != "yes" {
 			t.Errorf("%s: %+v %q, %v", name, h, body, err)
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -22,10 +22,10 @@
 const (
 	gossipMagic = "E1"
 	maxDatagram = 1200
-	tickZone    = 6 * time.Millisecond  // between two words to limiters of the zone ...
-	tickOther   = 30 * time.Millisecond // ... and to others
+	tickZone    = 6 * time.Millisecond   // between two words to limiters of the zone ...
+	tickOther   = 30 * time.Millisecond  // ... and to others
 	aliveEvery  = 150 * time.Millisecond // a third of quota.FreshMs: two words in a row may be lost
-	mostHinted  = 24 // of more limiters than this, those of other zones get no hints
+	mostHinted  = 24                     // of more limiters than this, those of other zones get no hints
 )
 
 // gossip tells the others what is new until the context ends.
