--- a/agreement/node.go
+++ b/agreement/node.go
@@ -69,6 +69,9 @@
 	n.commit, n.applied, n.stored = s.Snapshot.Index, s.Snapshot.Index, n.last()
 	n.findMembers()
 	n.follow(0)
+	// After a start of all there is no leader to be heard of. Where there is one, its
+	// followers do not answer the pre-vote that comes too early.
+	n.timeout = 2 + n.rng.IntN(max(1, cfg.ElectionTicks/2))
 	return n
 }
 
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -19,7 +19,10 @@
 	holdBody     = 64 << 10 // bodies up to this are held, so that another server can get them
 	writeFor     = 10 * time.Second
 	minBudget    = time.Millisecond
-	maxBudget    = 10 * time.Minute
+	// unleasedAdvice is when to come back to a limiter that has no word of the core:
+	// on the ordinary path that takes no longer.
+	unleasedAdvice = 200 * time.Millisecond
+	maxBudget      = 10 * time.Minute
 )
 
 var readers = sync.Pool{New: func() any { return bufio.NewReaderSize(nil, readBuffer) }}
@@ -193,7 +196,7 @@
 	}
 	v := c.g.view.Load()
 	if v == nil {
-		return c.skip(r, framing, &answer{status: 503, why: "no configuration yet", retryAfter: 500 * time.Millisecond})
+		return c.skip(r, framing, &answer{status: 503, why: "no configuration yet", retryAfter: unleasedAdvice})
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
 	if r.route = v.route(head.Get("Host"), path); r.route == nil {
@@ -202,8 +205,8 @@
 	r.keyed = v.keys != nil
 	if r.keyed && !r.route.Anonymous {
 		scheme, key, _ := strings.Cut(head.Get("Authorization"), " ")
-		if !c.g.leased() {
-			return c.skip(r, framing, &answer{status: 503, why: "keys can't be checked now", retryAfter: 400 * time.Millisecond})
+		if !c.g.Leased() {
+			return c.skip(r, framing, &answer{status: 503, why: "keys can't be checked now", retryAfter: unleasedAdvice})
 		}
 		if r.tenant = v.keys[strings.TrimSpace(key)]; r.tenant == nil || !strings.EqualFold(scheme, "Token") {
 			return c.skip(r, framing, &answer{status: 401, why: "unknown key"})
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -125,11 +125,11 @@
 	g.mu.Lock()
 	listed := g.servers != 0
 	g.mu.Unlock()
-	return g.view.Load() != nil && listed && g.leased() && (g.met.Load() || g.now() > readyAfter)
+	return g.view.Load() != nil && listed && g.Leased() && (g.met.Load() || g.now() > readyAfter)
 }
 
-// leased tells whether keyed requests may be served now.
-func (g *Gateway) leased() bool { return g.lease == 0 || int64(g.now()) < g.leaseTo.Load() }
+// Leased tells whether keyed requests may be served now.
+func (g *Gateway) Leased() bool { return g.lease == 0 || int64(g.now()) < g.leaseTo.Load() }
 
 func (g *Gateway) readiness(w http.ResponseWriter, _ *http.Request) {
 	if !g.Ready() {
--- a/process/news.go
+++ b/process/news.go
@@ -14,6 +14,7 @@
 	watchTimeout = watchWait + 1200*time.Millisecond
 	firstWait    = 60 * time.Millisecond // between two tries at a core that does not answer ...
 	longestWait  = 400 * time.Millisecond
+	urgentWait   = 120 * time.Millisecond
 	listEvery    = time.Second // the leader asks the platform
 	silentFor    = 2500 * time.Millisecond
 	busyPause    = 500 * time.Millisecond
@@ -31,7 +32,9 @@
 			continue
 		}
 		sleep(ctx, pause/2+time.Duration(p.rng.Int64N(int64(pause))))
-		pause = min(2*pause, longestWait)
+		if pause = min(2*pause, longestWait); p.gateway != nil && !p.gateway.Leased() {
+			pause = min(pause, urgentWait) // nothing can be served meanwhile
+		}
 	}
 }
 
@@ -41,7 +44,7 @@
 	var asked time.Duration
 	if g := p.gateway; g != nil {
 		q.Revision, q.Servers, asked = g.Revision(), g.Servers(), g.Since()
-		if !g.Ready() { // a lease is needed at once
+		if !g.Leased() || q.Revision == 0 { // needed at once
 			q.WaitMs = 0
 		}
 	} else {
@@ -100,7 +103,11 @@
 func (p *Process) discover(ctx context.Context) {
 	last := time.Duration(0)
 	for ctx.Err() == nil {
-		sleep(ctx, listEvery/4)
+		if pause := listEvery / 4; last != 0 || p.core == nil {
+			sleep(ctx, pause)
+		} else {
+			sleep(ctx, pause/8) // a new leader's first list is waited for
+		}
 		now := time.Since(p.start)
 		leads := p.core != nil && p.core.Leads()
 		// All that hear no leader together stay within half of the platform's rate.
