--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -276,6 +276,9 @@
 		c.g.inHand.Add(-1)
 	}
 	defer a.release()
+	if a.from == nil {
+		c.g.log.Debug("refused", "id", r.head.Get("Attempt-Id"), "status", a.status, "why", a.why, "after_ms", inMs(time.Since(r.arrived)))
+	}
 	<-turn
 	c.mu.Lock()
 	switch {
--- a/process/news.go
+++ b/process/news.go
@@ -101,9 +101,9 @@
 // discover asks the platform for the servers: the leader for all, a limiter
 // for itself where it hears of no leader.
 func (p *Process) discover(ctx context.Context) {
-	last := time.Duration(0)
+	last := -time.Hour // never: a new leader asks at once
 	for ctx.Err() == nil {
-		if pause := listEvery / 4; last != 0 || p.core == nil {
+		if pause := listEvery / 4; last >= 0 || p.core == nil {
 			sleep(ctx, pause)
 		} else {
 			sleep(ctx, pause/8) // a new leader's first list is waited for
