Further tries within the operator's budget, corrupt state left behind, long chunked bodies bounded

Each limiter saved up 10 further tries a service: 15 limiters could together exceed the slack of 62 to 70. Now its part of the slack, and what a server turned away counts too. A core member whose disk is corrupt ended by itself at each start; it now comes back as a new member. A chunked body past max_body_bytes was passed on without end: 413.

--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -26,6 +26,7 @@
 	out    []*attempt
 	sent   int
 	ran    bool
+	came   bool    // it has reached a server: another one is charged to the budget
 	last   *answer // a failure of a server's
 }
 
@@ -73,19 +74,19 @@
 // choose finds the server for a further attempt. Called under the mutex.
 func (f *flight) choose(hedge bool) (*attempt, *answer) {
 	g := f.g
-	if f.ran || hedge { // what may cost a server work twice comes out of what was saved up
+	if f.came || hedge { // what reaches a server once more comes out of what was saved up
 		if g.retries[f.choice.Service] < 1 {
 			return nil, nil
 		}
 	}
 	m, wait := g.balance.Choose(inMs(g.now()), f.choice)
 	if m == nil {
-		if hedge || f.ran {
+		if hedge || f.came {
 			return nil, nil
 		}
 		return nil, &answer{status: 503, why: "no server can answer in time", retryAfter: max(leastAdvice, min(fullAdvice, millis(wait)))}
 	}
-	if f.ran || hedge {
+	if f.came || hedge {
 		g.retries[f.choice.Service]--
 	}
 	at := &attempt{member: m, sentAt: time.Now(), load: m.Load(inMs(g.now())), hedge: hedge, host: g.pool.Host(m.ID)}
@@ -165,6 +166,7 @@
 // take notes what came of an attempt and returns the answer where it is final.
 func (f *flight) take(at *attempt) *answer {
 	f.ran = f.ran || at.ran
+	f.came = f.came || at.result != balance.Unsent
 	if at.answer == nil {
 		return nil
 	}
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -24,8 +24,13 @@
 	// longer than the deadline.
 	fullAdvice  = 100 * time.Millisecond
 	leastAdvice = 30 * time.Millisecond
-	retryShare  = 0.15 // further tries that a server may have worked on, for each request ...
-	retryMost   = 10.0 // ... saved up to this
+	// Further tries that reach a server are saved up for: so many for each request, up
+	// to a most. All limiters' shares together stay within the operator's budget: below
+	// its ratio, and each saves up its part of the slack alone.
+	retryShare = 0.15
+	retryPart  = 0.75 // of the operator's ratio
+	retryMost  = 10.0
+	slackPart  = 0.6 // of the operator's slack
 )
 
 type conn = connpool.Conn[string]
@@ -50,13 +55,29 @@
 		}
 	}
 	service := r.route.service(g.rng.Float64())
-	g.retries[service] = min(retryMost, g.retries[service]+retryShare)
+	g.saveUp(service)
 	g.mu.Unlock()
 	f := &flight{g: g, r: r, most: max(1, r.route.Retries), ended: make(chan *attempt, max(1, r.route.Retries)),
 		choice: balance.Request{Service: service, Bulk: r.route.Type == api.Download}}
 	return f.run()
 }
 
+// saveUp counts a request toward the further tries that may be made. Called under the mutex.
+func (g *Gateway) saveUp(service string) {
+	share, most, t := retryShare, retryMost, &g.cfg.Timing
+	if t.RetryRatio > 0 {
+		share = min(share, retryPart*t.RetryRatio)
+	}
+	if t.RetrySlack > 0 {
+		most = max(1, min(most, slackPart*t.RetrySlack/float64(len(g.peers)+1)))
+	}
+	saved, begun := g.retries[service]
+	if !begun {
+		saved = 1 // one that has just started can make up for one server's refusal
+	}
+	g.retries[service] = min(most, saved+share)
+}
+
 // try sends a request to one server and reads its answer.
 func (g *Gateway) try(r *request, at *attempt, host *connpool.Host[string]) outcome {
 	m := at.member
@@ -126,7 +147,12 @@
 	}
 	if err == nil && r.stream != nil {
 		r.started = true
-		err = r.streamTo(c)
+		if err = r.streamTo(c, g.view.Load().maxBody); errors.As(err, new(*h1.Error)) { // the client's fault
+			c.Close()
+			var e *h1.Error
+			errors.As(err, &e)
+			return outcome{result: balance.Given, ran: true, answer: &answer{status: e.Status, why: e.Why, closes: true}}, false
+		}
 	}
 	var head *h1.Head
 	if err == nil {
@@ -246,12 +272,17 @@
 		strings.EqualFold(name, "Tenant-Name") || strings.EqualFold(name, "Expect")
 }
 
-// streamTo sends a body that is too long to be held.
-func (r *request) streamTo(w io.Writer) error {
+// streamTo sends a body that is too long to be held. What the client does wrong
+// meanwhile is an [h1.Error].
+func (r *request) streamTo(w io.Writer, most int64) error {
+	sent := int64(0)
 	p := copies.Get().(*[]byte)
 	defer copies.Put(p)
 	buf := *p
 	chunk := func(data []byte) error {
+		if sent += int64(len(data)); sent > most {
+			return &h1.Error{Status: 413, Why: "the body is too long"}
+		}
 		if r.length >= 0 {
 			_, err := w.Write(data)
 			return err
@@ -274,7 +305,10 @@
 			}
 		}
 		if err != nil && err != io.EOF {
-			return err
+			if errors.As(err, new(*h1.Error)) {
+				return err
+			}
+			return &h1.Error{Status: 400, Why: "the body breaks off"} // its server never has the whole
 		}
 	}
 	if r.length < 0 {
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -293,6 +293,39 @@
 	}
 }
 
+// With most servers refusing, further tries stay within what is saved up: also
+// those that a server turned away count.
+func TestRetryBudget(t *testing.T) {
+	t.Parallel()
+	shed := func(w io.Writer, _ *h1.Head, _ []byte) bool {
+		io.WriteString(w, "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+		return true
+	}
+	var bs []*backend
+	for range 30 {
+		bs = append(bs, newBackend(t, shed))
+	}
+	g := newGateway(t, bs...)
+	g.mu.Lock()
+	g.cfg.Timing.RetryRatio, g.cfg.Timing.RetrySlack = 0.1, 5
+	g.mu.Unlock()
+	const n = 200
+	c := dial(t, g)
+	for range n {
+		c.send("GET /get/", "", "")
+		if _, _, err := c.answer(); err != nil {
+			t.Fatal(err)
+		}
+	}
+	came := int64(0)
+	for _, b := range bs {
+		came += b.seen.Load()
+	}
+	if came > n+n/10+5 {
+		t.Errorf("%d arrivals for %d requests, budget 0.1 and 5", came, n)
+	}
+}
+
 // Requests sent behind each other are worked on at once and answered in order.
 func TestPipelined(t *testing.T) {
 	t.Parallel()
@@ -340,6 +373,14 @@
 	c.want(200, long)
 	c.send("GET /get/chunked", "", "")
 	c.want(200, long)
+	over := dial(t, g) // past max_body_bytes, and of no announced length
+	over.send("POST /once/", "Transfer-Encoding: chunked\r\n", "")
+	go func() {
+		for range 8 {
+			fmt.Fprintf(over, "%x\r\n%s\r\n", len(long), long)
+		}
+	}()
+	over.want(413, "")
 	for _, target := range []string{"/get/short", "/get/cut"} {
 		c := dial(t, g)
 		c.send("GET "+target, "", "")
--- a/process/process.go
+++ b/process/process.go
@@ -78,11 +78,18 @@
 
 func (p *Process) open(cfg *settings.Node, seed uint64) (err error) {
 	if cfg.Core() {
-		if p.store, err = logstore.Open(filepath.Join(cfg.DataDir, "log")); err != nil {
-			return err
+		dir := filepath.Join(cfg.DataDir, "log")
+		if err = p.openCore(cfg, dir, cfg.Bootstrap, seed); errors.Is(err, logstore.ErrCorrupt) {
+			// It may have promised what it can't remember: it comes back as a new member,
+			// and fetches everything from the others.
+			p.log.Error("the state on disk can't be used: starting without it, as a new member", "dir", dir, "err", err)
+			if p.store != nil {
+				p.store.Close()
+			}
+			if err = os.RemoveAll(dir); err == nil {
+				err = p.openCore(cfg, dir, false, seed)
+			}
 		}
-		p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
-			Bootstrap: cfg.Bootstrap, Voters: voters, Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
 		if err != nil {
 			return err
 		}
@@ -119,6 +126,15 @@
 	return nil
 }
 
+func (p *Process) openCore(cfg *settings.Node, dir string, bootstrap bool, seed uint64) (err error) {
+	if p.store, err = logstore.Open(dir); err != nil {
+		return err
+	}
+	p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
+		Bootstrap: bootstrap, Voters: max(voters, 2*cfg.Tolerance.Machines+1), Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
+	return err
+}
+
 func (p *Process) close() error {
 	var errs []error
 	for _, l := range p.listening {
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -35,6 +35,7 @@
 	ZoneMap      map[string]string `toml:"zone_map"`
 	Listeners    Listeners         `toml:"listeners"`
 	Limits       Limits            `toml:"request_limits"`
+	Tolerance    Tolerance         `toml:"fault_tolerance"`
 	Timing       Timing            `toml:"timing_bounds"`
 	Cloud        Cloud             `toml:"cloud_api"`
 }
@@ -54,6 +55,11 @@
 	DiskMB   int64   `toml:"disk_mb"`
 }
 
+// Tolerance is what may be lost at once with all rules kept.
+type Tolerance struct {
+	Machines int `toml:"machine_failures"` // of those of the core
+}
+
 // Timing are the figures of the rules.
 type Timing struct {
 	ContactMs        float64 `toml:"contact_ms"`
@@ -184,6 +190,9 @@
 	if l := n.Limits; l.CPUShare < 0 || l.MemoryMB < 0 || l.DiskMB < 0 || l.MaxFDs < 0 || l.MaxFDs > 0 && l.MaxFDs < 300 {
 		fault("request_limits", "%+v can't hold a limiter", l)
 	}
+	if n.Tolerance.Machines < 0 || n.Tolerance.Machines > 10 {
+		fault("fault_tolerance.machine_failures", "%d: from 0 to 10", n.Tolerance.Machines)
+	}
 	t := n.Timing
 	for _, f := range []struct {
 		name string
