--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"io"
 	"log/slog"
 	"net/http"
@@ -27,6 +28,8 @@
 	Conns *api.Conns
 	Local *Core // where this process is a member; else nil
 	Log   *slog.Logger
+	// Status, where set, is shown as JSON at /v1/Status.
+	Status func() any
 
 	mu     sync.Mutex
 	leader string
@@ -146,6 +149,16 @@
 			return c.Replace(ctx, &api.Replace{Base: base, Config: body})
 		})
 	})
+	mux.HandleFunc("GET /v1/Status", func(w http.ResponseWriter, _ *http.Request) {
+		var v any
+		if c.Status != nil {
+			v = c.Status()
+		}
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		e.Encode(v) // a caller that is gone needs no answer
+	})
 	mux.HandleFunc("GET /v1/Config.Get", func(w http.ResponseWriter, r *http.Request) { c.answer(w, r, c.Get) })
 	return mux
 }
--- a/controlplane/serve.go
+++ b/controlplane/serve.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"slices"
 	"time"
@@ -201,3 +202,28 @@
 	}
 	return list
 }
+
+// CoreStatus is what a member of the core shows of itself.
+type CoreStatus struct {
+	ID, Role, Leader string
+	Term, Commit     uint64
+	Revision         uint64
+	DiskFails        bool
+	Members          []string
+}
+
+// Status returns what this member knows.
+func (c *Core) Status() CoreStatus {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	s := CoreStatus{ID: fmt.Sprintf("%x", uint64(c.id)), Role: c.node.Role().String(), Leader: c.leaderAddr(), Term: c.node.Term(),
+		Commit: c.node.Commit(), Revision: c.state.Revision, DiskFails: c.diskDown}
+	for _, m := range c.node.Members() {
+		kind := "learner"
+		if m.Voter {
+			kind = "voter"
+		}
+		s.Members = append(s.Members, fmt.Sprintf("%x %s %s", uint64(m.ID), m.Addr, kind))
+	}
+	return s
+}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -290,3 +290,34 @@
 func (g *Gateway) Settings(n *settings.Node) {
 	g.log.Info("settings read again", "cloud", n.Cloud.Address, "seeds", len(n.Seeds))
 }
+
+// Status is what a limiter shows of itself.
+type Status struct {
+	Ready, Draining bool
+	Revision        uint64
+	LeaseLeftMs     int64 // below 0: it has run out
+	InHand          int64
+	Connections     int // of clients
+	Peers           int // other limiters
+	Servers         []ServerStatus
+}
+
+// ServerStatus is how a limiter sees a server.
+type ServerStatus struct {
+	ID, Service, Zone, State string
+	Out                      int     // requests of this limiter's
+	Load                     float64 // of all limiters', as told
+}
+
+// Status returns what this limiter knows.
+func (g *Gateway) Status() Status {
+	s := Status{Ready: g.Ready(), Draining: g.draining.Load(), Revision: g.Revision(), InHand: g.inHand.Load(),
+		LeaseLeftMs: (time.Duration(g.leaseTo.Load()) - g.now()).Milliseconds()}
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	s.Connections, s.Peers = len(g.conns), len(g.peers)
+	for _, m := range g.balance.Members() {
+		s.Servers = append(s.Servers, ServerStatus{m.ID, m.Upstream, m.Zone, m.State, m.Out(), m.Load(inMs(g.now()))})
+	}
+	return s
+}
--- /dev/null
+++ b/emulator/operator.go
@@ -0,0 +1,192 @@
+package emulator
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"example.org/silverscale/api"
+)
+
+const (
+	callFor   = time.Second
+	callsMost = 60
+)
+
+// operator brings configurations and reads the newest back.
+type operator struct {
+	f    *Fleet
+	http http.Client
+
+	mu      sync.Mutex
+	base    uint64 // acknowledged
+	body    []byte
+	keys    map[string][]string // of tenants, the one in use last
+	timeout float64             // factor on the routes' time-outs
+	missed  int
+	acks    []time.Duration
+}
+
+func newOperator(f *Fleet) *operator {
+	o := &operator{f: f, http: http.Client{Timeout: callFor, Transport: &http.Transport{DisableKeepAlives: true}}, keys: map[string][]string{}, timeout: 1}
+	for _, t := range f.spec.Tenants {
+		o.keys[t.Name] = []string{"key-" + t.Name + "-1"}
+	}
+	return o
+}
+
+// key is the one that a tenant's clients use.
+func (f *Fleet) key(name string) string {
+	f.operator.mu.Lock()
+	defer f.operator.mu.Unlock()
+	ks := f.operator.keys[name]
+	return ks[len(ks)-1]
+}
+
+// config is the configuration as the operator wants it. Called under the mutex.
+func (o *operator) config(revision uint64) *api.Config {
+	s := o.f.spec
+	c := &api.Config{Revision: revision}
+	for _, v := range s.Services {
+		c.Upstreams = append(c.Upstreams, api.Upstream{Name: v.Name, HealthCheck: "/health", MaxConnections: 200, Protocol: "h1"})
+	}
+	for _, k := range s.Classes {
+		c.Routes = append(c.Routes, api.Route{Name: "r-" + k.Name, Host: "emulator.example", Prefix: "/" + k.Name + "/", Type: k.Type,
+			TimeoutMs: k.DeadlineMs * o.timeout, TargetMs: k.AimMs, Upstream: k.Service, Retries: 2})
+	}
+	for _, t := range s.Tenants {
+		rate := t.Quota * s.perS() * t.Share / s.shares()
+		c.Tenants = append(c.Tenants, api.Tenant{Name: t.Name, Keys: o.keys[t.Name], Rate: rate, Burst: rate})
+		o.f.ledger.mu.Lock()
+		o.f.ledger.quotas[t.Name] = quotaOf{rate, rate}
+		o.f.ledger.mu.Unlock()
+	}
+	return c
+}
+
+func (o *operator) first(ctx context.Context) error {
+	if !o.bring(ctx) {
+		return fmt.Errorf("emulator: the first configuration was not acknowledged; see the logs below %s", o.f.dir)
+	}
+	return nil
+}
+
+// bring sends the configuration until it is acknowledged.
+func (o *operator) bring(ctx context.Context) bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	c := o.config(o.base + 3)
+	body, err := cbor.Marshal(c)
+	if err != nil {
+		return false
+	}
+	begun := time.Now()
+	for i := range callsMost {
+		if ctx.Err() != nil {
+			return false
+		}
+		status, _ := o.call(i, http.MethodPost, "/v1/Config.Replace", o.base, body)
+		if status == http.StatusOK {
+			o.base, o.body = c.Revision, body
+			o.acks = append(o.acks, time.Since(begun))
+			return true
+		}
+		time.Sleep(time.Duration(min(i+1, 10)) * 20 * time.Millisecond)
+	}
+	o.missed++
+	return false
+}
+
+// invalid sends configurations that must not be taken.
+func (o *operator) invalid() {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for name, spoil := range map[string]func(*api.Config){
+		"an unknown service": func(c *api.Config) { c.Routes[0].Upstream = "nowhere" },
+		"no time-out":        func(c *api.Config) { c.Routes[0].TimeoutMs = 0 },
+		"an old version":     func(c *api.Config) { c.Revision = 1 },
+		"two of a place":     func(c *api.Config) { c.Routes = append(c.Routes, c.Routes[0]) },
+	} {
+		c := o.config(o.base + 2)
+		spoil(c)
+		body, err := cbor.Marshal(c)
+		if err != nil {
+			continue
+		}
+		if status, _ := o.call(1, http.MethodPost, "/v1/Config.Replace", o.base, body); status == http.StatusOK {
+			o.f.ledger.mu.Lock()
+			o.f.ledger.breaks("CONFIG", "a configuration with %s was acknowledged", name)
+			o.f.ledger.mu.Unlock()
+		}
+	}
+}
+
+// revoke gives a tenant a new key and then takes the old one away.
+func (o *operator) revoke(ctx context.Context, name string) {
+	o.mu.Lock()
+	old := o.keys[name][len(o.keys[name])-1]
+	o.keys[name] = append(o.keys[name], fmt.Sprintf("key-%s-%d", name, len(o.keys[name])+1))
+	o.mu.Unlock()
+	if !o.bring(ctx) {
+		return
+	}
+	time.Sleep(configApplyMs * time.Millisecond) // clients change over
+	o.mu.Lock()
+	o.keys[name] = o.keys[name][len(o.keys[name])-1:]
+	o.mu.Unlock()
+	if o.bring(ctx) {
+		o.f.ledger.mu.Lock()
+		o.f.ledger.revoked[old] = o.f.ledger.now()
+		o.f.ledger.mu.Unlock()
+	}
+}
+
+// readBack asks for the newest version and compares it with what was acknowledged.
+func (o *operator) readBack(ctx context.Context) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	for i := range callsMost {
+		if ctx.Err() != nil {
+			return
+		}
+		if status, body := o.call(i, http.MethodGet, "/v1/Config.Get", 0, nil); status == http.StatusOK {
+			if !bytes.Equal(body, o.body) {
+				o.f.ledger.mu.Lock()
+				o.f.ledger.breaks("CONFIG", "what is read back is not what was acknowledged as %d", o.base)
+				o.f.ledger.mu.Unlock()
+			}
+			return
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+	o.f.ledger.mu.Lock()
+	o.f.ledger.breaks("CONFIG", "the configuration can't be read back")
+	o.f.ledger.mu.Unlock()
+}
+
+func (o *operator) call(i int, method, path string, base uint64, body []byte) (int, []byte) {
+	n := o.f.nodes[(i*7+int(base))%len(o.f.nodes)]
+	req, err := http.NewRequest(method, "http://"+n.control+path, bytes.NewReader(body))
+	if err != nil {
+		return 0, nil
+	}
+	req.Header.Set("Base-Revision", strconv.FormatUint(base, 10))
+	req.Header.Set("Content-Type", "application/cbor")
+	resp, err := o.http.Do(req)
+	if err != nil {
+		return 0, nil
+	}
+	defer resp.Body.Close()
+	got, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return 0, nil
+	}
+	return resp.StatusCode, got
+}
--- /dev/null
+++ b/emulator/server.go
@@ -0,0 +1,189 @@
+package emulator
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"hash/crc32"
+	"io"
+	"math"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"strings"
+	"sync"
+	"time"
+
+	"example.org/silverscale/dataplane/h1"
+)
+
+const (
+	serverIdle = 8 * time.Second
+	mostHead   = 64 << 10
+)
+
+// server is one life of a server: it works on so many requests at once, queues
+// a few more, and turns away what it does not run with Not-Executed.
+type server struct {
+	id, service, addr, zone string
+	spec                    *Service
+	classes                 map[string]*Class // by path prefix
+	ledger                  *ledger
+	slots                   chan struct{}
+	born                    time.Time
+
+	mu       sync.Mutex
+	rng      *rand.Rand
+	waiting  int
+	draining bool
+	dead     bool
+	slow     float64 // work takes so many times as long
+	lose     float64 // share of answers that are lost
+	listener net.Listener
+	conns    map[net.Conn]bool
+}
+
+func startServer(id, addr, zone string, spec *Service, classes map[string]*Class, l *ledger, seed uint64) (*server, error) {
+	s := &server{id: id, service: spec.Name, addr: addr, zone: zone, spec: spec, classes: classes, ledger: l,
+		slots: make(chan struct{}, spec.Slots), born: time.Now(), rng: rand.New(rand.NewPCG(seed, 5)), slow: 1, conns: map[net.Conn]bool{}}
+	var err error
+	if s.listener, err = net.Listen("tcp", addr); err != nil {
+		return nil, fmt.Errorf("emulator: a server: %w", err)
+	}
+	s.addr = s.listener.Addr().String()
+	go s.accept()
+	return s, nil
+}
+
+func (s *server) accept() {
+	for {
+		c, err := s.listener.Accept()
+		if err != nil {
+			return
+		}
+		s.mu.Lock()
+		s.conns[c] = true
+		s.mu.Unlock()
+		go s.serve(c)
+	}
+}
+
+// stop ends the server. What it still worked on is cut.
+func (s *server) stop() {
+	s.listener.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.dead = true
+	for c := range s.conns {
+		c.Close()
+	}
+}
+
+func (s *server) serve(c net.Conn) {
+	defer func() {
+		c.Close()
+		s.mu.Lock()
+		delete(s.conns, c)
+		s.mu.Unlock()
+	}()
+	in := bufio.NewReader(c)
+	for {
+		c.SetReadDeadline(time.Now().Add(serverIdle))
+		h, err := h1.ReadRequest(in, mostHead)
+		if err != nil {
+			return
+		}
+		n, err := h.RequestBody()
+		if err != nil {
+			return
+		}
+		body, err := io.ReadAll(h1.NewBody(in, n))
+		if err != nil {
+			return
+		}
+		if !s.answer(c, h, body) {
+			return
+		}
+	}
+}
+
+// answer works on one request; false ends the connection.
+func (s *server) answer(c net.Conn, h *h1.Head, body []byte) bool {
+	refuse := func(status int, why string) bool {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nNot-Executed: %s\r\nMember-Id: %s\r\nContent-Length: 0\r\n\r\n", status, why, s.id)
+		return err == nil
+	}
+	if h.Target == "/health" {
+		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMember-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
+		return err == nil
+	}
+	id := h.Get("Attempt-Id")
+	if m := h.Get("Target-Member"); m != "" && m != s.id {
+		return refuse(421, "another member")
+	}
+	var class *Class
+	for prefix, k := range s.classes {
+		if strings.HasPrefix(h.Target, prefix) {
+			class = k
+		}
+	}
+	if class == nil || id == "" {
+		return refuse(400, "no class or id")
+	}
+	budget, err := strconv.ParseFloat(h.Get("Time-Budget-Ms"), 64)
+	if err != nil {
+		return refuse(400, "no budget")
+	}
+	until := time.NewTimer(time.Duration(budget * float64(time.Millisecond)))
+	defer until.Stop()
+	s.mu.Lock()
+	full := s.waiting >= s.spec.Queue+s.spec.Slots
+	if !full {
+		s.waiting++
+	}
+	s.mu.Unlock()
+	if full {
+		if s.spec.Hangs {
+			<-until.C
+			return false
+		}
+		return refuse(503, "full")
+	}
+	defer func() {
+		s.mu.Lock()
+		s.waiting--
+		s.mu.Unlock()
+	}()
+	select {
+	case s.slots <- struct{}{}:
+	case <-until.C:
+		return refuse(503, "late")
+	}
+	defer func() { <-s.slots }()
+	s.ledger.run(id, run{service: s.service, member: s.id, tenant: h.Get("Tenant-Name"), body: crc32.ChecksumIEEE(body)}, h.Get("Authorization") != "")
+	s.mu.Lock()
+	work := class.WorkMs * s.slow * math.Exp(0.5*s.rng.NormFloat64()-0.125)
+	if cold := s.spec.ColdS - time.Since(s.born).Seconds(); cold > 0 {
+		work *= 2
+	}
+	lost, dead, draining := s.rng.Float64() < s.lose, s.dead, s.draining
+	s.mu.Unlock()
+	if dead {
+		return false
+	}
+	time.Sleep(time.Duration(work * float64(time.Millisecond)))
+	if lost {
+		<-until.C
+		return false
+	}
+	out := bytes.Repeat([]byte(id), class.Bytes/max(1, len(id))+1)[:class.Bytes]
+	closes := ""
+	if draining {
+		closes = "Connection: close\r\n"
+	}
+	var b bytes.Buffer
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nKeep-Alive: timeout=8\r\n%sContent-Length: %d\r\n\r\n", id, sealOf(s.id, id, out), closes, len(out))
+	b.Write(out)
+	_, err = c.Write(b.Bytes())
+	return err == nil && !draining
+}
--- /dev/null
+++ b/emulator/trouble.go
@@ -0,0 +1,140 @@
+package emulator
+
+import (
+	"context"
+	"fmt"
+	"syscall"
+	"time"
+)
+
+// strike has a trouble happen at its time.
+func (f *Fleet) strike(ctx context.Context, t Trouble) {
+	if !pause(ctx, time.Duration(t.At*float64(time.Second))) {
+		return
+	}
+	fmt.Fprintf(f.log, "%5.1f s  %s\n", f.ledger.now().Seconds(), t.Kind)
+	count := max(1, t.Count)
+	lasting := time.Duration(max(t.For, 0.5) * float64(time.Second))
+	switch t.Kind {
+	case "kill", "kill_all":
+		if t.Kind == "kill_all" {
+			count = len(f.nodes)
+		}
+		for _, n := range f.some(count) {
+			n.mu.Lock()
+			n.hold = true
+			n.mu.Unlock()
+			n.signal(syscall.SIGKILL)
+			time.AfterFunc(lasting, func() {
+				n.mu.Lock()
+				n.hold = false
+				n.mu.Unlock()
+			})
+		}
+	case "term":
+		for _, n := range f.some(count) {
+			n.signal(syscall.SIGTERM)
+			if !pause(ctx, lasting) {
+				return
+			}
+		}
+	case "hup":
+		for _, n := range f.some(count) {
+			n.signal(syscall.SIGHUP)
+		}
+	case "crash":
+		for _, s := range f.platform.pick(f.rng, count) {
+			s.stop()
+			time.AfterFunc(lasting, func() { f.platform.gone(s) })
+		}
+	case "release", "reuse":
+		for _, s := range f.platform.pick(f.rng, count) {
+			f.replace(ctx, s, t.Kind == "reuse")
+		}
+	case "lost_answers", "slow":
+		for _, s := range f.platform.pick(f.rng, count) {
+			s.mu.Lock()
+			if t.Kind == "slow" {
+				s.slow = max(2, t.X)
+			} else {
+				s.lose = max(0.03, t.X)
+			}
+			s.mu.Unlock()
+			time.AfterFunc(lasting, func() {
+				s.mu.Lock()
+				s.slow, s.lose = 1, 0
+				s.mu.Unlock()
+			})
+		}
+	case "hot_tenant":
+		f.load.heat(f.spec.Tenants[0].Name, max(2, t.X))
+		pause(ctx, lasting)
+		f.load.heat("", 1)
+	case "config":
+		f.operator.mu.Lock()
+		f.operator.timeout = 1.5 - f.operator.timeout/2
+		f.operator.mu.Unlock()
+		f.operator.bring(ctx)
+	case "bad_config":
+		f.operator.invalid()
+	case "revoke":
+		f.operator.revoke(ctx, f.spec.Tenants[len(f.spec.Tenants)-1].Name)
+	}
+}
+
+// replace starts a server anew under another id: drains the old one first, and
+// takes its address over, for another service, where told.
+func (f *Fleet) replace(ctx context.Context, s *server, reuse bool) {
+	v := s.spec
+	if reuse {
+		for i := range f.spec.Services {
+			if f.spec.Services[i].Name != s.service {
+				v = &f.spec.Services[i]
+			}
+		}
+	} else if _, err := f.startServer(v, s.zone, "127.201.0.1:0"); err != nil {
+		fmt.Fprintln(f.log, err)
+	}
+	f.platform.drain(s)
+	if !pause(ctx, (drainMs+500)*time.Millisecond) {
+		return
+	}
+	f.platform.gone(s)
+	s.stop()
+	if reuse {
+		if _, err := f.startServer(v, s.zone, s.addr); err != nil {
+			fmt.Fprintln(f.log, err)
+		}
+	}
+}
+
+// heat makes a tenant send so many times its usual.
+func (l *load) heat(name string, x float64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.hot, l.hotX = name, x
+}
+
+func (f *Fleet) some(count int) (out []*node) {
+	f.load.mu.Lock()
+	order := f.rng.Perm(len(f.nodes))
+	f.load.mu.Unlock()
+	for _, i := range order {
+		if len(out) < count {
+			out = append(out, f.nodes[i])
+		}
+	}
+	return out
+}
+
+// pause waits; false tells that the context ended.
+func pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/process/process.go
+++ b/process/process.go
@@ -69,6 +69,7 @@
 		conns: api.NewConns(), start: time.Now()}
 	p.cfg.Store(cfg)
 	p.client = &controlplane.Client{Conns: p.conns, Log: log}
+	p.client.Status = p.status
 	p.client.Learn("", cfg.SeedAddrs())
 	if err := p.open(cfg, seed); err != nil {
 		return nil, errors.Join(err, p.close())
@@ -252,3 +253,26 @@
 	}
 	return xxhash.Sum64(data)
 }
+
+// status is what the process shows of itself.
+func (p *Process) status() any {
+	var s struct {
+		Name    string
+		Limiter *dataplane.Status        `json:",omitempty"`
+		Core    *controlplane.CoreStatus `json:",omitempty"`
+		Peers   []string
+	}
+	s.Name = p.cfg.Load().Name
+	if p.gateway != nil {
+		v := p.gateway.Status()
+		s.Limiter = &v
+	}
+	if p.core != nil {
+		v := p.core.Status()
+		s.Core = &v
+	}
+	for _, q := range p.members.Peers() {
+		s.Peers = append(s.Peers, fmt.Sprintf("%s %s %s", q.Name, q.Addr, [...]string{"alive", "leaving", "dead"}[min(2, q.State)]))
+	}
+	return s
+}
