--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -319,6 +319,14 @@
 	return out
 }
 
+// ZoneOf returns the zone of a server, by the hash of its id; empty if it isn't known.
+func (s *Set) ZoneOf(hash uint32) string {
+	if m := s.byHash[hash]; m != nil {
+		return m.Zone
+	}
+	return ""
+}
+
 // Heard takes in another limiter's hints.
 func (s *Set) Heard(now float64, from uint64, hints []Hint) {
 	for _, h := range hints {
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/sha256"
 	"errors"
 	"io"
 	"net"
@@ -208,7 +209,7 @@
 		if !c.g.Leased() {
 			return c.skip(r, framing, &answer{status: 503, why: "keys can't be checked now", retryAfter: unleasedAdvice})
 		}
-		if r.tenant = v.keys[strings.TrimSpace(key)]; r.tenant == nil || !strings.EqualFold(scheme, "Token") {
+		if r.tenant = v.keys[sha256.Sum256([]byte(strings.TrimSpace(key)))]; r.tenant == nil || !strings.EqualFold(scheme, "Token") {
 			return c.skip(r, framing, &answer{status: 401, why: "unknown key"})
 		}
 	}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -70,12 +70,13 @@
 
 // peer is another limiter.
 type peer struct {
-	id    uint64
-	addr  netip.AddrPort
-	zone  string
-	hints map[uint32]balance.Hint // not told yet
-	due   []quota.Spent
-	sent  time.Duration
+	id     uint64
+	addr   netip.AddrPort
+	zone   string
+	hints  map[uint32]balance.Hint // not told yet
+	theirs bool                    // some of them are about servers of its zone
+	due    []quota.Spent
+	sent   time.Duration
 }
 
 // New returns a gateway that listens. It is not ready before it has a
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -23,7 +23,8 @@
 	gossipMagic = "E1"
 	maxDatagram = 1200
 	tickZone    = 6 * time.Millisecond   // between two words to limiters of the zone ...
-	tickOther   = 30 * time.Millisecond  // ... and to others
+	tickOther   = 30 * time.Millisecond  // ... to others about servers of theirs ...
+	tickFar     = 150 * time.Millisecond // ... and about those that are of neither
 	aliveEvery  = 150 * time.Millisecond // a third of quota.FreshMs: two words in a row may be lost
 	mostHinted  = 24                     // of more limiters than this, those of other zones get no hints
 )
@@ -53,16 +54,20 @@
 						h.Took = p.hints[h.Server].Took
 					}
 					p.hints[h.Server] = h
+					p.theirs = p.theirs || g.balance.ZoneOf(h.Server) == p.zone
 				}
 			}
 			p.due = append(p.due, spent...)
-			pause := tickOther
-			if near {
+			pause := tickFar
+			switch {
+			case near:
 				pause = 0
+			case p.theirs, len(p.due) > 0:
+				pause = tickOther
 			}
 			since := now - p.sent
 			if len(p.hints)+len(p.due) > 0 && since >= pause || since >= aliveEvery {
-				p.sent = now
+				p.sent, p.theirs = now, false
 				buf = g.encode(buf[:0], p)
 				g.udp.WriteToUDPAddrPort(buf, p.addr) // a lost one heals with the next
 			}
--- a/dataplane/view.go
+++ b/dataplane/view.go
@@ -6,6 +6,7 @@
 
 import (
 	"cmp"
+	"crypto/sha256"
 	"slices"
 	"strings"
 	"time"
@@ -26,8 +27,8 @@
 // view is one version of the configuration, ready for look-ups. It does not change.
 type view struct {
 	revision uint64
-	hosts    map[string][]*route // longest prefix first
-	keys     map[string]*tenant  // nil where no keys are asked for
+	hosts    map[string][]*route           // longest prefix first
+	keys     map[[sha256.Size]byte]*tenant // by the keys' hashes; nil where no keys are asked for
 	plans    map[uint64]quota.Plan
 	maxHead  int
 	maxBody  int64
@@ -64,12 +65,12 @@
 	}
 	for _, t := range c.Tenants {
 		if v.keys == nil {
-			v.keys = map[string]*tenant{}
+			v.keys = map[[sha256.Size]byte]*tenant{}
 		}
 		x := &tenant{t.Name, xxhash.Sum64String(t.Name)}
 		v.plans[x.id] = quota.Plan{Rate: t.Rate, Burst: t.Burst}
 		for _, k := range t.Keys {
-			v.keys[k] = x
+			v.keys[sha256.Sum256([]byte(k))] = x
 		}
 	}
 	return v
