--- a/process/process.go
+++ b/process/process.go
@@ -69,6 +69,7 @@
 		conns: api.NewConns(), start: time.Now()}
 	p.cfg.Store(cfg)
 	p.client = &controlplane.Client{Conns: p.conns, Log: log}
+	p.client.Status = p.status
 	p.client.Learn("", cfg.SeedAddrs())
 	if err := p.open(cfg, seed); err != nil {
 		return nil, errors.Join(err, p.close())
@@ -78,11 +79,18 @@
 
 func (p *Process) open(cfg *settings.Node, seed uint64) (err error) {
 	if cfg.Core() {
-		if p.store, err = logstore.Open(filepath.Join(cfg.DataDir, "log")); err != nil {
-			return err
+		dir := filepath.Join(cfg.DataDir, "log")
+		if err = p.openCore(cfg, dir, cfg.Bootstrap, seed); errors.Is(err, logstore.ErrCorrupt) {
+			// It may have promised what it can't remember: it comes back as a new member,
+			// and fetches everything from the others.
+			p.log.Error("the state on disk can't be used: starting without it, as a new member", "dir", dir, "err", err)
+			if p.store != nil {
+				p.store.Close()
+			}
+			if err = os.RemoveAll(dir); err == nil {
+				err = p.openCore(cfg, dir, false, seed)
+			}
 		}
-		p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
-			Bootstrap: cfg.Bootstrap, Voters: voters, Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
 		if err != nil {
 			return err
 		}
@@ -119,6 +127,15 @@
 	return nil
 }
 
+func (p *Process) openCore(cfg *settings.Node, dir string, bootstrap bool, seed uint64) (err error) {
+	if p.store, err = logstore.Open(dir); err != nil {
+		return err
+	}
+	p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
+		Bootstrap: bootstrap, Voters: max(voters, 2*cfg.Tolerance.Machines+1), Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
+	return err
+}
+
 func (p *Process) close() error {
 	var errs []error
 	for _, l := range p.listening {
@@ -236,3 +253,26 @@
 	}
 	return xxhash.Sum64(data)
 }
+
+// status is what the process shows of itself.
+func (p *Process) status() any {
+	var s struct {
+		Name    string
+		Limiter *dataplane.Status        `json:",omitempty"`
+		Core    *controlplane.CoreStatus `json:",omitempty"`
+		Peers   []string
+	}
+	s.Name = p.cfg.Load().Name
+	if p.gateway != nil {
+		v := p.gateway.Status()
+		s.Limiter = &v
+	}
+	if p.core != nil {
+		v := p.core.Status()
+		s.Core = &v
+	}
+	for _, q := range p.members.Peers() {
+		s.Peers = append(s.Peers, fmt.Sprintf("%s %s %s", q.Name, q.Addr, [...]string{"alive", "leaving", "dead"}[min(2, q.State)]))
+	}
+	return s
+}
