--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -12,6 +12,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -36,7 +37,7 @@
 	load     *load
 	rng      *rand.Rand
 	ports    ports
-	exits    int
+	exits    atomic.Int64 // of processes, by themselves
 	lives    int
 }
 
@@ -179,7 +180,7 @@
 		close(ended)
 		n.mu.Lock()
 		if !n.meant && ctx.Err() == nil {
-			f.exits++
+			f.exits.Add(1)
 			fmt.Fprintf(f.log, "emulator: %s ended by itself: %v\n", n.name, cmd.ProcessState)
 		}
 		n.mu.Unlock()
@@ -346,8 +347,11 @@
 			classes["/"+c.Name+"/"] = c
 		}
 	}
+	f.platform.mu.Lock()
 	f.lives++
-	s, err := startServer(fmt.Sprintf("i-%s-%d", v.Name, f.lives), addr, zone, v, classes, f.ledger, f.spec.Seed+uint64(f.lives))
+	life := f.lives
+	f.platform.mu.Unlock()
+	s, err := startServer(fmt.Sprintf("i-%s-%d", v.Name, life), addr, zone, v, classes, f.ledger, f.spec.Seed+uint64(life))
 	if err == nil {
 		f.platform.add(s)
 	}
--- a/emulator/report.go
+++ b/emulator/report.go
@@ -29,8 +29,17 @@
 func (f *Fleet) report() *Report {
 	f.load.mu.Lock()
 	defer f.load.mu.Unlock()
-	r := &Report{Stats: f.load.stats, Broken: f.ledger.broken, Counts: f.ledger.counts, Exits: f.exits, Calls: f.platform.calls,
-		Missed: f.operator.missed, Servers: f.lives}
+	r := &Report{Stats: f.load.stats}
+	f.ledger.mu.Lock()
+	r.Broken, r.Counts = slices.Clone(f.ledger.broken), maps.Clone(f.ledger.counts)
+	f.ledger.mu.Unlock()
+	f.platform.mu.Lock()
+	r.Calls, r.Servers = f.platform.calls, f.lives
+	f.platform.mu.Unlock()
+	f.operator.mu.Lock()
+	r.Missed = f.operator.missed
+	f.operator.mu.Unlock()
+	r.Exits = int(f.exits.Load())
 	for _, c := range f.spec.Classes {
 		r.Classes = append(r.Classes, c.Name)
 	}
