Tell peers of every tenant, also where more than 32 have news

Cause: a word holds 32 tenants, but all that was due to a peer was forgotten with it, so that with more tenants units were never told until the tenant spent again. Found by reading the change. Due units are now a map by tenant, as hints were already; what does not fit stays due. That also drops the map that was made for each word.

--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -70,12 +70,11 @@
 
 // peer is another limiter.
 type peer struct {
-	id     uint64
 	addr   netip.AddrPort
 	zone   string
 	hints  map[uint32]balance.Hint // not told yet
 	theirs bool                    // some of them are about servers of its zone
-	due    []quota.Spent
+	due    map[uint64]uint64       // units by tenant, not told yet
 	sent   time.Duration
 }
 
@@ -266,7 +265,7 @@
 		id := xxhash.Sum64String(p.Name)
 		x := g.peers[id]
 		if x == nil {
-			x = &peer{id: id, hints: map[uint32]balance.Hint{}}
+			x = &peer{hints: map[uint32]balance.Hint{}, due: map[uint64]uint64{}}
 			g.peers[id] = x
 		}
 		x.addr, x.zone, is[id] = addr, p.Zone, true
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -418,6 +418,36 @@
 	c.want(200, "yes")
 }
 
+// More tenants than one word holds are all told: the rest goes with the next
+// one. Fails where what did not fit is taken for told.
+func TestAllTenantsAreTold(t *testing.T) {
+	t.Parallel()
+	g := &Gateway{start: time.Now()}
+	p := &peer{due: map[uint64]uint64{}}
+	const n = 100
+	for id := range uint64(n) {
+		p.due[id] = id + 1
+	}
+	told := map[uint64]uint64{}
+	for words := 0; len(p.due) > 0; words++ {
+		if words > n/mostTold {
+			t.Fatalf("%d tenants are left after %d words", len(p.due), words)
+		}
+		var w word
+		if err := decodeWord(g.encode(nil, p), &w); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range w.spent {
+			told[e.Tenant] = e.Units
+		}
+	}
+	for id := range uint64(n) {
+		if told[id] != id+1 {
+			t.Errorf("of tenant %d was told %d", id, told[id])
+		}
+	}
+}
+
 func FuzzWord(f *testing.F) {
 	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x01cccccccc\x07\x01dddd\x01\x10"))
 	f.Fuzz(func(t *testing.T, b []byte) {
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -26,6 +26,7 @@
 	tickOther   = 30 * time.Millisecond  // ... to others about servers of theirs ...
 	tickFar     = 150 * time.Millisecond // ... and about those that are of neither
 	aliveEvery  = 150 * time.Millisecond // a third of quota.FreshMs: two words in a row may be lost
+	mostTold    = 32                     // tenants in one word
 	mostHinted  = 24                     // of more limiters than this, those of other zones get no hints
 )
 
@@ -57,7 +58,9 @@
 					p.theirs = p.theirs || g.balance.ZoneOf(h.Server) == p.zone
 				}
 			}
-			p.due = append(p.due, spent...)
+			for _, e := range spent {
+				p.due[e.Tenant] = e.Units // cumulative: the newest figure stands for all before
+			}
 			pause := tickFar
 			switch {
 			case near:
@@ -81,20 +84,16 @@
 	b = binary.BigEndian.AppendUint64(b, g.self)
 	b = binary.BigEndian.AppendUint64(b, g.life)
 	b = binary.AppendUvarint(b, uint64(g.now().Milliseconds()))
-	latest := map[uint64]uint64{}
-	for _, e := range p.due {
-		latest[e.Tenant] = max(latest[e.Tenant], e.Units)
-	}
-	k := min(len(latest), 32)
+	k := min(len(p.due), mostTold)
 	b = binary.AppendUvarint(b, uint64(k))
-	for id, units := range latest {
-		if k--; k < 0 {
+	for id, units := range p.due {
+		if k--; k < 0 { // the rest goes with the next word
 			break
 		}
 		b = binary.BigEndian.AppendUint64(b, id)
 		b = binary.AppendUvarint(b, units)
+		delete(p.due, id)
 	}
-	p.due = p.due[:0]
 	k = min(len(p.hints), 64)
 	b = binary.AppendUvarint(b, uint64(k))
 	for id, h := range p.hints {
