Data plane: take out dead code, a trace on the hot path and doubled conditions

Every request built a debug record and looked its balance up under the mutex, also with debug off: left over from a trace; a refusal is logged with its reason anyway. failure() said Failed for every time-out that can occur. A comment said that Keep-Alive is heeded, which it is not. Behaviour is the same.

--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -63,7 +63,7 @@
 	if at == nil {
 		return a, false
 	}
-	if f.r.route.Repeatable() && f.r.stream == nil && f.most > 1 {
+	if f.parallel() {
 		go f.work(at) // ends by the request's deadline
 	} else {
 		f.work(at)
@@ -74,19 +74,18 @@
 // choose finds the server for a further attempt. Called under the mutex.
 func (f *flight) choose(hedge bool) (*attempt, *answer) {
 	g := f.g
-	if f.came || hedge { // what reaches a server once more comes out of what was saved up
-		if g.retries[f.choice.Service] < 1 {
-			return nil, nil
-		}
+	further := f.came || hedge // what reaches a server once more comes out of what was saved up
+	if further && g.retries[f.choice.Service] < 1 {
+		return nil, nil
 	}
 	m, wait := g.balance.Choose(inMs(g.now()), f.choice)
 	if m == nil {
-		if hedge || f.came {
+		if further {
 			return nil, nil
 		}
 		return nil, &answer{status: 503, why: "no server can answer in time", retryAfter: max(leastAdvice, min(fullAdvice, millis(wait)))}
 	}
-	if f.came || hedge {
+	if further {
 		g.retries[f.choice.Service]--
 	}
 	at := &attempt{member: m, sentAt: time.Now(), load: m.Load(inMs(g.now())), hedge: hedge, host: g.pool.Host(m.ID)}
@@ -208,9 +207,14 @@
 	}
 }
 
+// parallel tells whether two servers may have the request at the same time.
+func (f *flight) parallel() bool {
+	return f.r.route.Repeatable() && f.r.stream == nil && f.most > 1
+}
+
 // hedgeIn returns after what time a second server is tried beside the first.
 func (f *flight) hedgeIn() (time.Duration, bool) {
-	if !f.r.route.Repeatable() || f.r.stream != nil || f.most < 2 {
+	if !f.parallel() {
 		return 0, false
 	}
 	f.g.mu.Lock()
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -6,8 +6,6 @@
 	"errors"
 	"io"
 	"math"
-	"net"
-	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -20,10 +18,8 @@
 
 const (
 	maxAnswerHead = 32 << 10
-	// A try of a repeatable request that is answered in part waits for the rest no
-	// longer than the deadline.
-	fullAdvice  = 100 * time.Millisecond
-	leastAdvice = 30 * time.Millisecond
+	fullAdvice    = 100 * time.Millisecond
+	leastAdvice   = 30 * time.Millisecond
 	// Further tries that reach a server are saved up for: so many for each request, up
 	// to a most. All limiters' shares together stay within the operator's budget: below
 	// its ratio, and each saves up its part of the slack alone.
@@ -47,8 +43,6 @@
 	g.mu.Lock()
 	if r.tenant != nil {
 		wait, ok := g.quota.Admit(inMs(g.now()), r.tenant.id)
-		g.log.Debug("quota", "id", r.head.Get("Attempt-Id"), "tenant", r.tenant.name, "admitted", ok, "wait_ms", wait,
-			"balance", g.quota.Balance(inMs(g.now()), r.tenant.id))
 		if !ok {
 			g.mu.Unlock()
 			return &answer{status: 429, why: "beyond the quota", retryAfter: max(leastAdvice, millis(wait))}
@@ -147,10 +141,10 @@
 	}
 	if err == nil && r.stream != nil {
 		r.started = true
-		if err = r.streamTo(c, g.view.Load().maxBody); errors.As(err, new(*h1.Error)) { // the client's fault
+		err = r.streamTo(c, g.view.Load().maxBody)
+		var e *h1.Error
+		if errors.As(err, &e) { // the client's fault
 			c.Close()
-			var e *h1.Error
-			errors.As(err, &e)
 			return outcome{result: balance.Given, ran: true, answer: &answer{status: e.Status, why: e.Why, closes: true}}, false
 		}
 	}
@@ -161,7 +155,7 @@
 	c.Note(age, c.Died() != nil)
 	if err != nil {
 		c.Close()
-		return outcome{result: failure(err), ran: true}, false
+		return outcome{result: balance.Failed, ran: true}, false
 	}
 	framing, err := head.AnswerBody(r.head.Method)
 	id := head.Get("Attempt-Id")
@@ -187,13 +181,13 @@
 		if err != nil {
 			c.Close()
 			if !good { // the status alone says enough
-				return g.judge(r, m, a, false)
+				return judge(a, false)
 			}
-			return outcome{result: failure(err), ran: true}, false
+			return outcome{result: balance.Failed, ran: true}, false
 		}
 		a.length = int64(len(a.body))
 		free(reuse)
-		return g.judge(r, m, a, good)
+		return judge(a, good)
 	}
 	a.rest = body
 	a.free = func(whole bool) { free(reuse && whole) }
@@ -201,7 +195,7 @@
 }
 
 // judge tells what an answer that was read says.
-func (g *Gateway) judge(r *request, m *balance.Member, a *answer, good bool) (outcome, bool) {
+func judge(a *answer, good bool) (outcome, bool) {
 	switch {
 	case good:
 		return outcome{result: balance.Good, ran: true, answer: a}, false
@@ -222,19 +216,6 @@
 	return outcome{result: balance.Given, ran: true, answer: a}, false
 }
 
-// failure tells what an error says about the server: nothing, where the time
-// was up in the midst of an answer.
-func failure(err error) balance.Result {
-	if errors.Is(err, os.ErrDeadlineExceeded) {
-		return balance.Failed
-	}
-	var e net.Error
-	if errors.As(err, &e) && e.Timeout() {
-		return balance.Given
-	}
-	return balance.Failed
-}
-
 // writeHead writes the head for a server, with a body that is held.
 func (r *request) writeHead(b *bytes.Buffer, member string) {
 	b.WriteString(r.head.Method)
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -49,7 +49,6 @@
 	tenant   *tenant
 	keyed    bool // keys are asked for: they are not passed on
 	arrived  time.Time
-	budget   time.Duration
 	deadline time.Time
 	body     []byte   // held, in full
 	stream   *h1.Body // or too long to be held
@@ -213,15 +212,15 @@
 			return c.skip(r, framing, &answer{status: 401, why: "unknown key"})
 		}
 	}
-	r.budget = r.route.timeout
+	budget := r.route.timeout
 	if text := head.Get("Time-Budget-Ms"); text != "" {
 		ms, err := strconv.ParseFloat(text, 64)
 		if err != nil || !(ms > 0) || ms > inMs(maxBudget) {
 			return refuse(400, "Time-Budget-Ms can't be read")
 		}
-		r.budget = min(r.budget, millis(ms))
+		budget = min(budget, millis(ms))
 	}
-	r.deadline = arrived.Add(max(minBudget, r.budget))
+	r.deadline = arrived.Add(max(minBudget, budget))
 	if framing == 0 {
 		return r, nil
 	}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -19,12 +19,14 @@
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/dataplane/quota"
 	"example.org/silverscale/internal/connpool"
+	"example.org/silverscale/membership"
 	"example.org/silverscale/settings"
 )
 
 const (
 	connectTimeout = 300 * time.Millisecond
-	// keepIdle bounds idle connections to servers; what a server's Keep-Alive says goes before.
+	// keepIdle bounds idle connections to servers, which servers told of in Keep-Alive;
+	// that field is not read yet.
 	keepIdle       = 7 * time.Second
 	reservedFDs    = 300
 	defaultFDs     = 1024
@@ -57,7 +59,6 @@
 	balance *balance.Set
 	retries map[string]float64 // further tries saved up, by service
 	peers   map[uint64]*peer
-	zoned   []*peer
 	conns   map[*clientConn]struct{}
 	servers uint64 // version of the list
 
@@ -199,9 +200,6 @@
 	g.quota.Plans(inMs(g.now()), v.plans)
 	g.mu.Unlock()
 	g.view.Store(v)
-	for _, t := range c.Tenants {
-		g.log.Debug("plan", "tenant", t.Name, "rate", t.Rate, "burst", t.Burst)
-	}
 	g.log.Info("configuration", "revision", c.Revision, "routes", len(c.Routes), "tenants", len(c.Tenants))
 }
 
@@ -253,9 +251,8 @@
 	defer g.mu.Unlock()
 	var ids, zone []uint64
 	is := map[uint64]bool{}
-	g.zoned = g.zoned[:0]
 	for _, p := range all {
-		if p.Name == g.cfg.Name || !p.Edge || p.State == 2 {
+		if p.Name == g.cfg.Name || !p.Edge || p.State == membership.Dead {
 			continue
 		}
 		addr, err := netip.ParseAddrPort(p.Addr)
