One Sleep in internal/backoff for the five places that waited on a context

internal/node had it, connpool, process, membership and the emulator wrote it again; jitter goes by backoff.Spread, which was there too. Behaviour is the same.

--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -5,11 +5,13 @@
 	"fmt"
 	"syscall"
 	"time"
+
+	"example.org/silverscale/internal/backoff"
 )
 
 // strike has a trouble happen at its time.
 func (f *Fleet) strike(ctx context.Context, t Trouble) {
-	if !pause(ctx, time.Duration(t.At*float64(time.Second))) {
+	if !backoff.Sleep(ctx, time.Duration(t.At*float64(time.Second))) {
 		return
 	}
 	fmt.Fprintf(f.log, "%5.1f s  %s\n", f.ledger.now().Seconds(), t.Kind)
@@ -34,7 +36,7 @@
 	case "term":
 		for _, n := range f.some(count) {
 			n.signal(syscall.SIGTERM)
-			if !pause(ctx, lasting) {
+			if !backoff.Sleep(ctx, lasting) {
 				return
 			}
 		}
@@ -68,7 +70,7 @@
 		}
 	case "hot_tenant":
 		f.load.heat(f.spec.Tenants[0].Name, max(2, t.X))
-		pause(ctx, lasting)
+		backoff.Sleep(ctx, lasting)
 		f.load.heat("", 1)
 	case "config":
 		f.operator.mu.Lock()
@@ -96,7 +98,7 @@
 		fmt.Fprintln(f.log, err)
 	}
 	f.platform.drain(s)
-	if !pause(ctx, (drainMs+500)*time.Millisecond) {
+	if !backoff.Sleep(ctx, (drainMs+500)*time.Millisecond) {
 		return
 	}
 	f.platform.gone(s)
@@ -126,15 +128,3 @@
 	}
 	return out
 }
-
-// pause waits; false tells that the context ended.
-func pause(ctx context.Context, d time.Duration) bool {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-t.C:
-		return true
-	}
-}
--- a/internal/backoff/backoff.go
+++ b/internal/backoff/backoff.go
@@ -3,6 +3,7 @@
 package backoff
 
 import (
+	"context"
 	"math/rand/v2"
 	"time"
 )
@@ -37,3 +38,15 @@
 func Spread(span time.Duration, rng *rand.Rand) time.Duration {
 	return time.Duration(float64(span) * rng.Float64())
 }
+
+// Sleep waits, or until the context ends. It tells whether the time has passed.
+func Sleep(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-t.C:
+		return true
+	}
+}
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -13,6 +13,8 @@
 	"sync"
 	"syscall"
 	"time"
+
+	"example.org/silverscale/internal/backoff"
 )
 
 const sweepEvery = 500 * time.Millisecond
@@ -258,7 +260,7 @@
 // closed, until the context ends.
 func (p *Pool[K]) Sweep(ctx context.Context) {
 	for ctx.Err() == nil {
-		sleep(ctx, sweepEvery)
+		backoff.Sleep(ctx, sweepEvery)
 		p.mu.Lock()
 		p.ages.fade(time.Now())
 		p.ages.judge()
@@ -340,13 +342,3 @@
 	}
 	return 0
 }
-
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -190,7 +190,7 @@
 	defer client.CloseIdleConnections()
 	pace := newPacing(n.cfg)
 	if index.have { // else there is nothing to serve with until the list comes
-		sleep(ctx, pace.spread)
+		backoff.Sleep(ctx, pace.spread)
 	}
 	for ctx.Err() == nil {
 		// The whole list comes at once, or the call is made anew.
@@ -206,7 +206,7 @@
 			return
 		case err != nil:
 			n.discoveryLog.warn("discovery does not answer", "err", err)
-			sleep(ctx, pace.after(err))
+			backoff.Sleep(ctx, pace.after(err))
 			continue
 		}
 		pace.after(nil)
@@ -216,7 +216,7 @@
 			n.take(silverscale.Partial, l)
 		}
 		if l.Seq == index.seq && index.have && time.Since(asked) < idlePause {
-			sleep(ctx, idlePause)
+			backoff.Sleep(ctx, idlePause)
 		}
 		index = listIndex{l.Seq, true}
 	}
@@ -249,16 +249,6 @@
 	return l, nil
 }
 
-// sleep waits, or until the context ends.
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
-
 // updateHost tells the pool what the list says of a server and whether that is news.
 func (n *Node) updateHost(info silverscale.ServerInfo, dial string) bool {
 	if info.Phase == silverscale.Removed {
--- a/membership/service.go
+++ b/membership/service.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"example.org/silverscale/api"
+	"example.org/silverscale/internal/backoff"
 )
 
 const (
@@ -47,17 +48,12 @@
 	for ctx.Err() == nil {
 		s.beatAll(ctx)
 		s.mu.Lock()
-		pause := beatEvery*9/10 + time.Duration(s.rng.Int64N(int64(beatEvery/5)))
+		pause := beatEvery*9/10 + backoff.Spread(beatEvery/5, s.rng)
 		if len(s.view.peers) == 0 {
 			pause = beatEvery / 5
 		}
 		s.mu.Unlock()
-		t := time.NewTimer(pause)
-		select {
-		case <-ctx.Done():
-			t.Stop()
-		case <-t.C:
-		}
+		backoff.Sleep(ctx, pause)
 	}
 }
 
--- a/process/news.go
+++ b/process/news.go
@@ -7,6 +7,7 @@
 
 	"example.org/silverscale/api"
 	"example.org/silverscale/discovery"
+	"example.org/silverscale/internal/backoff"
 )
 
 const (
@@ -31,7 +32,7 @@
 			pause = firstWait
 			continue
 		}
-		sleep(ctx, pause/2+time.Duration(p.rng.Int64N(int64(pause))))
+		backoff.Sleep(ctx, pause/2+backoff.Spread(pause, p.rng))
 		if pause = min(2*pause, longestWait); p.gateway != nil && !p.gateway.Leased() {
 			pause = min(pause, urgentWait) // nothing can be served meanwhile
 		}
@@ -104,9 +105,9 @@
 	last := -time.Hour // never: a new leader asks at once
 	for ctx.Err() == nil {
 		if pause := listEvery / 4; last >= 0 || p.core == nil {
-			sleep(ctx, pause)
+			backoff.Sleep(ctx, pause)
 		} else {
-			sleep(ctx, pause/8) // a new leader's first list is waited for
+			backoff.Sleep(ctx, pause/8) // a new leader's first list is waited for
 		}
 		now := time.Since(p.start)
 		leads := p.core != nil && p.core.Leads()
@@ -122,7 +123,7 @@
 		last = now
 		list, err := discovery.List(ctx, cfg.Cloud.Address)
 		if errors.Is(err, discovery.ErrBusy) {
-			sleep(ctx, busyPause+time.Duration(p.rng.Int64N(int64(busyPause))))
+			backoff.Sleep(ctx, busyPause+backoff.Spread(busyPause, p.rng))
 		}
 		if err != nil {
 			p.log.Warn("the platform's list was not had", "err", err)
@@ -135,12 +136,3 @@
 		}
 	}
 }
-
-func sleep(ctx context.Context, d time.Duration) {
-	t := time.NewTimer(d)
-	defer t.Stop()
-	select {
-	case <-ctx.Done():
-	case <-t.C:
-	}
-}
