Watch: the pauses of internal/backoff; a random source for each goroutine

The watch doubled its pause by hand, as Backoff does. It also shared a random source with discovery, which is not safe for two goroutines: found by reading. Client.Core was not used. The first pause is 40 to 60 ms, where it was 30 to 90.

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -56,13 +56,6 @@
 	}
 }
 
-// Core returns the addresses of the core, as far as known.
-func (c *Client) Core() []string {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return slices.Clone(c.addrs)
-}
-
 // Next returns whom to ask: the leader, or each of the core in turn.
 func (c *Client) Next() string {
 	c.mu.Lock()
--- a/process/news.go
+++ b/process/news.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"time"
 
 	"example.org/silverscale/api"
@@ -13,7 +14,7 @@
 const (
 	watchWait    = time.Second // an answer without news
 	watchTimeout = watchWait + 1200*time.Millisecond
-	firstWait    = 60 * time.Millisecond // between two tries at a core that does not answer ...
+	firstWait    = 40 * time.Millisecond // between two tries at a core that does not answer ...
 	longestWait  = 400 * time.Millisecond
 	urgentWait   = 120 * time.Millisecond
 	listEvery    = time.Second // the leader asks the platform
@@ -25,17 +26,17 @@
 // watch asks the core with the versions that are held here, and takes in what
 // it answers, until the context ends.
 func (p *Process) watch(ctx context.Context) {
-	pause := firstWait
+	pauses := backoff.New(firstWait, longestWait, rand.New(rand.NewPCG(p.seed, 1)))
 	for ctx.Err() == nil {
-		ok := p.ask(ctx)
-		if ok {
-			pause = firstWait
+		if p.ask(ctx) {
+			pauses.Reset()
 			continue
 		}
-		backoff.Sleep(ctx, pause/2+backoff.Spread(pause, p.rng))
-		if pause = min(2*pause, longestWait); p.gateway != nil && !p.gateway.Leased() {
+		pause := pauses.Next()
+		if p.gateway != nil && !p.gateway.Leased() {
 			pause = min(pause, urgentWait) // nothing can be served meanwhile
 		}
+		backoff.Sleep(ctx, pause)
 	}
 }
 
@@ -102,6 +103,7 @@
 // discover asks the platform for the servers: the leader for all, a limiter
 // for itself where it hears of no leader.
 func (p *Process) discover(ctx context.Context) {
+	rng := rand.New(rand.NewPCG(p.seed, 2))
 	last := -time.Hour // never: a new leader asks at once
 	for ctx.Err() == nil {
 		if pause := listEvery / 4; last >= 0 || p.core == nil {
@@ -123,7 +125,7 @@
 		last = now
 		list, err := discovery.List(ctx, cfg.Cloud.Address)
 		if errors.Is(err, discovery.ErrBusy) {
-			backoff.Sleep(ctx, busyPause+backoff.Spread(busyPause, p.rng))
+			backoff.Sleep(ctx, busyPause+backoff.Spread(busyPause, rng))
 		}
 		if err != nil {
 			p.log.Warn("the platform's list was not had", "err", err)
--- a/process/process.go
+++ b/process/process.go
@@ -39,7 +39,7 @@
 type Process struct {
 	path string
 	log  *slog.Logger
-	rng  *rand.Rand
+	seed uint64 // of all that is drawn at random; each goroutine has a source of its own
 	cfg  atomic.Pointer[settings.Node]
 	look chan struct{}
 
@@ -65,7 +65,7 @@
 		return nil, err
 	}
 	seed := rand.Uint64()
-	p := &Process{path: path, log: log, rng: rand.New(rand.NewPCG(seed, 1)), look: make(chan struct{}, 1),
+	p := &Process{path: path, log: log, seed: seed, look: make(chan struct{}, 1),
 		conns: api.NewConns(), start: time.Now()}
 	p.cfg.Store(cfg)
 	p.client = &controlplane.Client{Conns: p.conns, Log: log}
