Close silent connections between processes ourselves, without TCP_USER_TIMEOUT

Conns now notes how each call ends and makes a connection anew whose calls all went unanswered for 1 s. An error in reading datagrams no longer goes round at once.

--- a/api/conns.go
+++ b/api/conns.go
@@ -1,19 +1,34 @@
 package api
 
 import (
+	"context"
 	"sync"
+	"time"
 
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
 )
 
+// silentFor is how long calls on a connection may all go unanswered before it is
+// closed and made anew: a machine without power or behind a cut says nothing, and
+// what the system sends again on an old connection comes ever more seldom. gRPC's
+// own keep-alive can't be shorter than 10 s.
+const silentFor = time.Second
+
 // Conns keeps one connection to each process that is called.
 type Conns struct {
+	silentFor time.Duration
+
 	mu     sync.Mutex
 	byAddr map[string]*grpc.ClientConn
+	silent map[string]time.Time // since when calls go unanswered
 }
 
 // NewConns returns an empty set.
-func NewConns() *Conns { return &Conns{byAddr: map[string]*grpc.ClientConn{}} }
+func NewConns() *Conns {
+	return &Conns{silentFor: silentFor, byAddr: map[string]*grpc.ClientConn{}, silent: map[string]time.Time{}}
+}
 
 // To returns the connection to an address.
 func (s *Conns) To(addr string) (*grpc.ClientConn, error) {
@@ -22,21 +37,50 @@
 	if c := s.byAddr[addr]; c != nil {
 		return c, nil
 	}
-	c, err := Dial(addr)
+	c, err := Dial(addr, func(ctx context.Context, method string, q, r any, c *grpc.ClientConn, call grpc.UnaryInvoker, o ...grpc.CallOption) error {
+		err := call(ctx, method, q, r, c, o...)
+		s.answered(addr, c, err)
+		return err
+	})
 	if err == nil {
 		s.byAddr[addr] = c
 	}
 	return c, err
 }
 
-// Keep closes the connections to all addresses that are no longer called.
-func (s *Conns) Keep(wanted func(addr string) bool) {
+// answered notes how a call ended, and closes a connection that is silent.
+func (s *Conns) answered(addr string, c *grpc.ClientConn, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch status.Code(err) {
+	case codes.Canceled: // says nothing
+		return
+	case codes.DeadlineExceeded:
+	default:
+		delete(s.silent, addr)
+		return
+	}
+	since, ok := s.silent[addr]
+	switch {
+	case s.byAddr[addr] != c:
+	case !ok:
+		s.silent[addr] = time.Now()
+	case time.Since(since) >= s.silentFor:
+		s.drop(addr)
+	}
+}
+
+func (s *Conns) drop(addr string) {
+	s.byAddr[addr].Close()
+	delete(s.byAddr, addr)
+	delete(s.silent, addr)
+}
+
+// Close closes all connections.
+func (s *Conns) Close() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for addr, c := range s.byAddr {
-		if !wanted(addr) {
-			c.Close()
-			delete(s.byAddr, addr)
-		}
+	for addr := range s.byAddr {
+		s.drop(addr)
 	}
 }
--- /dev/null
+++ b/api/conns_test.go
@@ -0,0 +1,80 @@
+package api
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc"
+)
+
+// mute answers a Beat only when it is told to.
+type mute struct{ speaks chan struct{} }
+
+func (m mute) Beat(ctx context.Context, _ *Beat) (*BeatReply, error) {
+	select {
+	case <-m.speaks:
+		return &BeatReply{}, nil
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+// A connection on which calls go unanswered for long is made anew; one that
+// answers now and then, or whose calls were given up here, is kept.
+func TestSilentConnectionIsMadeAnew(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	srv, m := NewServer(), mute{make(chan struct{}, 1)}
+	RegisterMembership(srv, m)
+	go srv.Serve(l)
+	defer srv.Stop()
+	s := NewConns()
+	defer s.Close()
+	to := func() *grpc.ClientConn {
+		c, err := s.To(l.Addr().String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		return c
+	}
+	call := func(d time.Duration) error {
+		ctx, cancel := context.WithTimeout(context.Background(), d)
+		defer cancel()
+		_, err := CallBeat(ctx, to(), &Beat{})
+		return err
+	}
+	first := to()
+	s.silentFor = time.Hour
+	for range 3 {
+		if call(20*time.Millisecond) == nil {
+			t.Fatal("answered")
+		}
+	}
+	if to() != first {
+		t.Fatal("given up too soon")
+	}
+	m.speaks <- struct{}{}
+	if err := call(20 * time.Second); err != nil {
+		t.Fatal(err)
+	}
+	s.silentFor = 0
+	if call(20*time.Millisecond) == nil || to() != first {
+		t.Fatal("one silence after an answer ended the connection")
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	cancel()
+	if _, err := CallBeat(ctx, to(), &Beat{}); err == nil || to() != first {
+		t.Fatal("a call that was given up here ended the connection")
+	}
+	if call(20*time.Millisecond) == nil || to() == first {
+		t.Fatal("the silent connection is still there")
+	}
+	m.speaks <- struct{}{}
+	if err := call(20 * time.Second); err != nil {
+		t.Errorf("on the new connection: %v", err)
+	}
+}
--- a/api/rpc.go
+++ b/api/rpc.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"syscall"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -18,12 +17,8 @@
 const (
 	codecName = "cbor"
 	// Buffers are small, as memory is dear and messages are.
-	ioBuffer = 4 << 10
-	// tcpUserTimeoutMs ends a connection whose peer does not acknowledge: a machine
-	// without power says nothing. gRPC's own keep-alive can't be shorter than 10 s.
-	tcpUserTimeoutMs = 1500
-	tcpUserTimeout   = 0x12 // TCP_USER_TIMEOUT, of Linux's tcp.h
-	maxMessage       = MaxConfig + 1<<20
+	ioBuffer   = 4 << 10
+	maxMessage = MaxConfig + 1<<20
 )
 
 type codec struct{}
@@ -178,13 +173,10 @@
 // RegisterMembership adds the heartbeats.
 func RegisterMembership(s *grpc.Server, m Membership) { s.RegisterService(&membershipDesc, m) }
 
-// Dial returns a connection to a process. It connects when it is first used.
-func Dial(addr string) (*grpc.ClientConn, error) {
-	d := net.Dialer{KeepAlive: -1, Control: func(_, _ string, raw syscall.RawConn) error {
-		return raw.Control(func(fd uintptr) { // where it can't be set, calls still end by their deadlines
-			_ = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, tcpUserTimeoutMs)
-		})
-	}}
+// Dial returns a connection to a process, with a look at each of its calls. It
+// connects when it is first used.
+func Dial(addr string, note grpc.UnaryClientInterceptor) (*grpc.ClientConn, error) {
+	d := net.Dialer{KeepAlive: -1}
 	return grpc.NewClient("passthrough:///"+addr,
 		grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithContextDialer(func(ctx context.Context, a string) (net.Conn, error) { return d.DialContext(ctx, "tcp", a) }),
@@ -192,7 +184,7 @@
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 500 * time.Millisecond,
 			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: 400 * time.Millisecond}}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithDisableServiceConfig(), grpc.WithUserAgent("e"))
+		grpc.WithDisableServiceConfig(), grpc.WithUnaryInterceptor(note), grpc.WithUserAgent("e"))
 }
 
 func invoke[R any](ctx context.Context, c *grpc.ClientConn, path string, q any) (*R, error) {
--- a/controlplane/core_test.go
+++ b/controlplane/core_test.go
@@ -50,7 +50,7 @@
 		cancel()
 		srv.Stop()
 		<-done
-		conns.Keep(func(string) bool { return false })
+		conns.Close()
 		store.Close()
 		delete(c.cores, addr)
 		delete(c.stops, addr)
@@ -92,7 +92,7 @@
 func (c *cluster) client() *Client {
 	cl := &Client{Conns: api.NewConns(), Log: slog.New(slog.DiscardHandler)}
 	cl.Learn("", c.addrs)
-	c.t.Cleanup(func() { cl.Conns.Keep(func(string) bool { return false }) })
+	c.t.Cleanup(func() { cl.Conns.Close() })
 	return cl
 }
 
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -9,6 +9,7 @@
 
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/internal/backoff"
 )
 
 // Limiters tell each other by datagrams, as the limiter in service does: units
@@ -26,8 +27,9 @@
 	tickOther   = 30 * time.Millisecond  // ... to others about servers of theirs ...
 	tickFar     = 150 * time.Millisecond // ... and about those that are of neither
 	aliveEvery  = 150 * time.Millisecond // a third of quota.FreshMs: two words in a row may be lost
-	mostTold    = 32                     // tenants in one word
-	mostHinted  = 24                     // of more limiters than this, those of other zones get no hints
+	hearAgain   = 2 * time.Millisecond
+	mostTold    = 32 // tenants in one word
+	mostHinted  = 24 // of more limiters than this, those of other zones get no hints
 )
 
 // gossip tells the others what is new until the context ends.
@@ -174,6 +176,7 @@
 			return
 		}
 		if err != nil { // what another machine sent back for a datagram to it
+			backoff.Sleep(ctx, hearAgain) // guards against one that does not pass
 			continue
 		}
 		if decodeWord(buf[:n], &w) != nil {
--- a/process/process.go
+++ b/process/process.go
@@ -194,7 +194,7 @@
 	if p.control != nil {
 		p.control.Close()
 	}
-	p.conns.Keep(func(string) bool { return false })
+	p.conns.Close()
 	tasks.Wait()
 	if p.store != nil {
 		return p.store.Close()
