Keep idle connections for nine tenths of what servers say in Keep-Alive

A fixed 7 s fits servers that close after 8.7 or 10 s; where they close sooner a request would cross the close, and one that must not run twice would be lost.

--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -171,6 +171,7 @@
 		return outcome{result: balance.Failed, ran: true}, false
 	}
 	reuse := !head.Closes() && framing != h1.TillEnds
+	c.KeepFor = head.KeepAlive()
 	a := &answer{status: head.Status, from: head, length: framing}
 	body := h1.NewBody(c.In, framing)
 	if framing >= 0 && framing <= holdAnswer || !good || r.head.Method == "HEAD" {
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -25,8 +25,7 @@
 
 const (
 	connectTimeout = 300 * time.Millisecond
-	// keepIdle bounds idle connections to servers, which servers told of in Keep-Alive;
-	// that field is not read yet.
+	// keepIdle bounds idle connections to servers that say nothing in Keep-Alive.
 	keepIdle       = 7 * time.Second
 	reservedFDs    = 300
 	defaultFDs     = 1024
--- a/dataplane/h1/h1_test.go
+++ b/dataplane/h1/h1_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"strings"
 	"testing"
+	"time"
 )
 
 func read(s string) *bufio.Reader { return bufio.NewReaderSize(strings.NewReader(s), 64) }
@@ -87,6 +88,16 @@
 	}
 }
 
+func TestKeepAlive(t *testing.T) {
+	for text, want := range map[string]time.Duration{"timeout=8": 8 * time.Second, "max=5, Timeout=3": 3 * time.Second,
+		"": 0, "timeout=-1": 0, "timeout=x": 0, "timeout=99999999": 0} {
+		h := Head{Fields: []Field{{"Keep-Alive", text}}}
+		if got := h.KeepAlive(); got != want {
+			t.Errorf("%q: %v, want %v", text, got, want)
+		}
+	}
+}
+
 // Whatever a client sends, reading it ends, in an error or in a request whose
 // own bytes are never taken for the next one's.
 func FuzzRequest(f *testing.F) {
--- a/dataplane/h1/head.go
+++ b/dataplane/h1/head.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"strconv"
 	"strings"
+	"time"
 )
 
 // Error is a malformed message, with the status that answers it.
@@ -238,6 +239,21 @@
 	return 0, false, nil
 }
 
+// KeepAlive returns how long the sender says that it keeps an idle connection, in
+// whole seconds as it is told; 0 where it says nothing that can be read.
+func (h *Head) KeepAlive() time.Duration {
+	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
+		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		if !strings.EqualFold(name, "timeout") {
+			continue
+		}
+		if n, err := strconv.ParseUint(value, 10, 16); err == nil {
+			return time.Duration(n) * time.Second
+		}
+	}
+	return 0
+}
+
 // Closes tells that the sender closes the connection after this message.
 func (h *Head) Closes() bool {
 	return h.Has("Connection", "close") || h.Old && !h.Has("Connection", "keep-alive")
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -17,7 +17,10 @@
 	"example.org/silverscale/internal/backoff"
 )
 
-const sweepEvery = 500 * time.Millisecond
+const (
+	sweepEvery = 500 * time.Millisecond
+	keepTenths = 9 // of the time that a server said
+)
 
 // ErrTooLong tells of an answer that goes past the limit that [Conn.Expect] set.
 var ErrTooLong = errors.New("the answer is too long")
@@ -54,7 +57,9 @@
 	In     *bufio.Reader // reads from it
 	Used   bool          // an answer has come on it
 	IdleAt time.Time
-	once   sync.Once
+	// KeepFor is how long the server said that it keeps it idle; 0: it did not.
+	KeepFor time.Duration
+	once    sync.Once
 }
 
 // answerReader is what a conn reads answers from.
@@ -191,7 +196,11 @@
 
 // sound tells whether an idle connection may be used.
 func (p *Pool[K]) sound(c *Conn[K]) bool {
-	return time.Since(c.IdleAt) < min(p.IdleFor, p.ages.limit) && c.Quiet()
+	keep := p.IdleFor
+	if c.KeepFor > 0 { // given up well before the server does: a request must not cross its close
+		keep = c.KeepFor * keepTenths / 10
+	}
+	return time.Since(c.IdleAt) < min(keep, p.ages.limit) && c.Quiet()
 }
 
 // Note counts an exchange by the [Conn.Age] that its connection had.
--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -76,3 +76,27 @@
 		t.Error("a sound connection was closed")
 	}
 }
+
+// A connection is given up before the time is over for which its server said to keep
+// it, also where that is shorter than the pool's own.
+func TestKeepFor(t *testing.T) {
+	t.Parallel()
+	p := New[int](2, patience, patience)
+	p.Update(1, listen(t), 0, true)
+	h := p.Host(1)
+	c, err := p.Connect(context.Background(), h)
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.KeepFor = patience / 2
+	p.Put(c)
+	c.IdleAt = time.Now().Add(-patience / 4)
+	if p.Take(h) != c {
+		t.Fatal("given up too soon")
+	}
+	p.Put(c)
+	c.IdleAt = time.Now().Add(-patience/2 + patience/40)
+	if p.Take(h) != nil {
+		t.Error("used when its server is about to close it")
+	}
+}
