Test of silent connections: no answer left to a call that was given up

The stand-in handed one token to whichever of its calls still ran; one that its client had given up could take it before the server heard of that, and the call of the test then waited for its whole 20 s. Ruled out: api.Conns itself (the new connection was up).

--- a/api/conns_test.go
+++ b/api/conns_test.go
@@ -9,16 +9,18 @@
 	"google.golang.org/grpc"
 )
 
-// mute answers a Beat only when it is told to.
-type mute struct{ speaks chan struct{} }
+// mute answers a Beat only where its digest asks for it. What a call that was
+// given up left running in the server so can't take the answer of a later one.
+type mute struct{}
 
-func (m mute) Beat(ctx context.Context, _ *Beat) (*BeatReply, error) {
-	select {
-	case <-m.speaks:
+const speak = 1
+
+func (mute) Beat(ctx context.Context, b *Beat) (*BeatReply, error) {
+	if b.Digest == speak {
 		return &BeatReply{}, nil
-	case <-ctx.Done():
-		return nil, ctx.Err()
 	}
+	<-ctx.Done()
+	return nil, ctx.Err()
 }
 
 // A connection on which calls go unanswered for long is made anew; one that
@@ -28,8 +30,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	srv, m := NewServer(), mute{make(chan struct{}, 1)}
-	RegisterMembership(srv, m)
+	srv := NewServer()
+	RegisterMembership(srv, mute{})
 	go srv.Serve(l)
 	defer srv.Stop()
 	s := NewConns()
@@ -41,28 +43,27 @@
 		}
 		return c
 	}
-	call := func(d time.Duration) error {
+	call := func(digest uint64, d time.Duration) error {
 		ctx, cancel := context.WithTimeout(context.Background(), d)
 		defer cancel()
-		_, err := CallBeat(ctx, to(), &Beat{})
+		_, err := CallBeat(ctx, to(), &Beat{Digest: digest})
 		return err
 	}
 	first := to()
 	s.silentFor = time.Hour
 	for range 3 {
-		if call(20*time.Millisecond) == nil {
+		if call(0, 20*time.Millisecond) == nil {
 			t.Fatal("answered")
 		}
 	}
 	if to() != first {
 		t.Fatal("given up too soon")
 	}
-	m.speaks <- struct{}{}
-	if err := call(20 * time.Second); err != nil {
+	if err := call(speak, 20*time.Second); err != nil {
 		t.Fatal(err)
 	}
 	s.silentFor = 0
-	if call(20*time.Millisecond) == nil || to() != first {
+	if call(0, 20*time.Millisecond) == nil || to() != first {
 		t.Fatal("one silence after an answer ended the connection")
 	}
 	ctx, cancel := context.WithCancel(context.Background())
@@ -70,11 +71,10 @@
 	if _, err := CallBeat(ctx, to(), &Beat{}); err == nil || to() != first {
 		t.Fatal("a call that was given up here ended the connection")
 	}
-	if call(20*time.Millisecond) == nil || to() == first {
+	if call(0, 20*time.Millisecond) == nil || to() == first {
 		t.Fatal("the silent connection is still there")
 	}
-	m.speaks <- struct{}{}
-	if err := call(20 * time.Second); err != nil {
+	if err := call(speak, 20*time.Second); err != nil {
 		t.Errorf("on the new connection: %v", err)
 	}
 }
