--- a/cmd/elmspan/tools.go
+++ b/cmd/elmspan/tools.go
@@ -22,6 +22,7 @@
 
 	"example.org/silverscale/api"
 	"example.org/silverscale/emulator"
+	"example.org/silverscale/scenario"
 	"example.org/silverscale/settings"
 )
 
@@ -61,7 +62,7 @@
 	switch filepath.Ext(path) {
 	case ".toml":
 		if bytes.Contains(data, []byte("[[classes]]")) {
-			_, err := emulator.ReadSpec(path)
+			_, err := scenario.Read(path)
 			return err
 		}
 		_, err := settings.Parse(data)
@@ -354,7 +355,7 @@
 
 // Run plays the day. A broken rule is exit code 3.
 func (c *emulateCmd) Run() error {
-	spec, err := emulator.ReadSpec(c.Fleet)
+	spec, err := scenario.Read(c.Fleet)
 	if err != nil {
 		return err
 	}
@@ -363,7 +364,7 @@
 	}
 	if c.Seconds > 0 {
 		spec.LengthS = c.Seconds
-		spec.Troubles = slices.DeleteFunc(spec.Troubles, func(t emulator.Trouble) bool { return t.At > c.Seconds })
+		spec.Troubles = slices.DeleteFunc(spec.Troubles, func(t scenario.Trouble) bool { return t.At > c.Seconds })
 	}
 	if c.Dir == "" {
 		if c.Dir, err = os.MkdirTemp("", "elmspan-"); err != nil {
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -10,7 +10,6 @@
 	"strings"
 	"time"
 
-	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/dataplane/h1"
 	"example.org/silverscale/internal/connpool"
@@ -20,13 +19,6 @@
 	maxAnswerHead = 32 << 10
 	fullAdvice    = 100 * time.Millisecond
 	leastAdvice   = 30 * time.Millisecond
-	// Further tries that reach a server are saved up for: so many for each request, up
-	// to a most. All limiters' shares together stay within the operator's budget: below
-	// its ratio, and each saves up its part of the slack alone.
-	retryShare = 0.15
-	retryPart  = 0.75 // of the operator's ratio
-	retryMost  = 10.0
-	slackPart  = 0.6 // of the operator's slack
 )
 
 type conn = connpool.Conn[string]
@@ -42,36 +34,19 @@
 func (g *Gateway) handle(r *request) *answer {
 	g.mu.Lock()
 	if r.tenant != nil {
-		wait, ok := g.quota.Admit(inMs(g.now()), r.tenant.id)
+		wait, ok := g.limiter.Admit(inMs(g.now()), r.tenant.id)
 		if !ok {
 			g.mu.Unlock()
 			return &answer{status: 429, why: "beyond the quota", retryAfter: max(leastAdvice, millis(wait))}
 		}
 	}
-	service := r.route.service(g.rng.Float64())
-	g.saveUp(service)
+	r.service = r.route.service(g.rng.Float64())
+	g.limiter.SaveUp(r.service)
+	f := newFlight(g, r)
 	g.mu.Unlock()
-	f := &flight{g: g, r: r, most: max(1, r.route.Retries), ended: make(chan *attempt, max(1, r.route.Retries)),
-		choice: balance.Request{Service: service, Bulk: r.route.Type == api.Download}}
 	return f.run()
 }
 
-// saveUp counts a request toward the further tries that may be made. Called under the mutex.
-func (g *Gateway) saveUp(service string) {
-	share, most, t := retryShare, retryMost, &g.cfg.Timing
-	if t.RetryRatio > 0 {
-		share = min(share, retryPart*t.RetryRatio)
-	}
-	if t.RetrySlack > 0 {
-		most = max(1, min(most, slackPart*t.RetrySlack/float64(len(g.peers)+1)))
-	}
-	saved, begun := g.retries[service]
-	if !begun {
-		saved = 1 // one that has just started can make up for one server's refusal
-	}
-	g.retries[service] = min(most, saved+share)
-}
-
 // try sends a request to one server and reads its answer.
 func (g *Gateway) try(r *request, at *attempt, host *connpool.Host[string]) outcome {
 	m := at.member
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -47,6 +47,7 @@
 	head     *h1.Head
 	route    *route
 	tenant   *tenant
+	service  string
 	keyed    bool // keys are asked for: they are not passed on
 	arrived  time.Time
 	deadline time.Time
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -16,8 +16,8 @@
 	"github.com/cespare/xxhash/v2"
 
 	"example.org/silverscale/api"
-	"example.org/silverscale/dataplane/balance"
-	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/dataplane/limiter"
+	"example.org/silverscale/dataplane/words"
 	"example.org/silverscale/internal/connpool"
 	"example.org/silverscale/membership"
 	"example.org/silverscale/settings"
@@ -54,10 +54,8 @@
 
 	mu      sync.Mutex // over the following
 	rng     *rand.Rand
-	quota   *quota.Set
-	balance *balance.Set
-	retries map[string]float64 // further tries saved up, by service
-	peers   map[uint64]*peer
+	limiter *limiter.Limiter
+	addrs   map[uint64]netip.AddrPort // of other limiters
 	conns   map[*clientConn]struct{}
 	servers uint64 // version of the list
 
@@ -68,29 +66,19 @@
 	tasks   sync.WaitGroup
 }
 
-// peer is another limiter.
-type peer struct {
-	addr   netip.AddrPort
-	zone   string
-	hints  map[uint32]balance.Hint // not told yet
-	theirs bool                    // some of them are about servers of its zone
-	due    map[uint64]uint64       // units by tenant, not told yet
-	sent   time.Duration
-}
-
 // New returns a gateway that listens. It is not ready before it has a
 // configuration, servers and, where keys are strictly revoked, a lease.
 func New(cfg *settings.Node, seed uint64, log *slog.Logger) (*Gateway, error) {
 	g := &Gateway{cfg: cfg, log: log, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
-		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), retries: map[string]float64{}, peers: map[uint64]*peer{},
+		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
 		conns: map[*clientConn]struct{}{}, open: listenersClose}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
 		fds = defaultFDs
 	}
 	g.pool = connpool.New[string]((fds-reservedFDs)/2, connectTimeout, keepIdle)
-	g.quota = quota.New(0)
-	g.balance = balance.New(cfg.Zone, g.self, seed)
+	g.limiter = limiter.New(0, limiter.Config{Self: g.self, Life: g.life, Zone: cfg.Zone, Seed: seed,
+		RetryRatio: cfg.Timing.RetryRatio, RetrySlack: cfg.Timing.RetrySlack})
 	if cfg.Timing.StrictRevocation {
 		g.lease = settings.Millis(cfg.Timing.RevokeMs) - revokeMargin
 	}
@@ -196,7 +184,7 @@
 	}
 	v := newView(c)
 	g.mu.Lock()
-	g.quota.Plans(inMs(g.now()), v.plans)
+	g.limiter.Plans(inMs(g.now()), v.plans)
 	g.mu.Unlock()
 	g.view.Store(v)
 	g.log.Info("configuration", "revision", c.Revision, "routes", len(c.Routes), "tenants", len(c.Tenants))
@@ -234,7 +222,7 @@
 		return
 	}
 	g.servers = max(g.servers, version, 1)
-	g.balance.Update(inMs(g.now()), list)
+	g.limiter.Servers(inMs(g.now()), list)
 	listed := make(map[string]bool, len(list))
 	for _, s := range list {
 		listed[s.ID] = true
@@ -248,8 +236,8 @@
 func (g *Gateway) SetPeers(all []api.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var ids, zone []uint64
-	is := map[uint64]bool{}
+	var peers []words.Peer
+	clear(g.addrs)
 	for _, p := range all {
 		if p.Name == g.cfg.Name || !p.Edge || p.State == membership.Dead {
 			continue
@@ -259,24 +247,10 @@
 			continue
 		}
 		id := xxhash.Sum64String(p.Name)
-		x := g.peers[id]
-		if x == nil {
-			x = &peer{hints: map[uint32]balance.Hint{}, due: map[uint64]uint64{}}
-			g.peers[id] = x
-		}
-		x.addr, x.zone, is[id] = addr, p.Zone, true
-		ids = append(ids, id)
-		if p.Zone == g.cfg.Zone {
-			zone = append(zone, id)
-		}
-	}
-	for id := range g.peers {
-		if !is[id] {
-			delete(g.peers, id)
-		}
+		g.addrs[id] = addr
+		peers = append(peers, words.Peer{ID: id, Zone: p.Zone})
 	}
-	g.quota.Members(inMs(g.now()), ids)
-	g.balance.Peers(zone)
+	g.limiter.Peers(inMs(g.now()), peers)
 	if len(all) > 1 {
 		g.met.Store(true)
 	}
@@ -311,8 +285,8 @@
 		LeaseLeftMs: (time.Duration(g.leaseTo.Load()) - g.now()).Milliseconds()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.Connections, s.Peers = len(g.conns), len(g.peers)
-	for _, m := range g.balance.Members() {
+	s.Connections, s.Peers = len(g.conns), g.limiter.Others()
+	for _, m := range g.limiter.Members() {
 		s.Servers = append(s.Servers, ServerStatus{m.ID, m.Upstream, m.Zone, m.State, m.Out(), m.Load(inMs(g.now()))})
 	}
 	return s
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -79,10 +79,15 @@
 
 // newGateway starts a gateway in front of servers, in the order of their names.
 func newGateway(t *testing.T, backends ...*backend) *Gateway {
+	t.Helper()
+	return newGatewayOf(t, settings.Timing{StrictRevocation: true, RevokeMs: 5000, GraceS: 3}, backends...)
+}
+
+func newGatewayOf(t *testing.T, timing settings.Timing, backends ...*backend) *Gateway {
 	t.Helper()
 	cfg := &settings.Node{Name: "n", IP: "127.0.0.1", Zone: "z", Internal: []int{0, 9}, Served: []string{"edge", "control"},
 		Listeners: settings.Listeners{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
-		Timing:    settings.Timing{StrictRevocation: true, RevokeMs: 5000, GraceS: 3}}
+		Timing:    timing}
 	g, err := New(cfg, 1, slog.New(slog.DiscardHandler))
 	if err != nil {
 		t.Fatal(err)
@@ -297,10 +302,7 @@
 	for range 30 {
 		bs = append(bs, newBackend(t, shed))
 	}
-	g := newGateway(t, bs...)
-	g.mu.Lock()
-	g.cfg.Timing.RetryRatio, g.cfg.Timing.RetrySlack = 0.1, 5
-	g.mu.Unlock()
+	g := newGatewayOf(t, settings.Timing{GraceS: 3, RetryRatio: 0.1, RetrySlack: 5}, bs...)
 	const n = 200
 	c := dial(t, g)
 	for range n {
@@ -409,43 +411,3 @@
 	c.send("GET /get/", "", "")
 	c.want(200, "yes")
 }
-
-// More tenants than one word holds are all told: the rest goes with the next
-// one. Fails where what did not fit is taken for told.
-func TestAllTenantsAreTold(t *testing.T) {
-	t.Parallel()
-	g := &Gateway{start: time.Now()}
-	p := &peer{due: map[uint64]uint64{}}
-	const n = 100
-	for id := range uint64(n) {
-		p.due[id] = id + 1
-	}
-	told := map[uint64]uint64{}
-	for words := 0; len(p.due) > 0; words++ {
-		if words > n/mostTold {
-			t.Fatalf("%d tenants are left after %d words", len(p.due), words)
-		}
-		var w word
-		if err := decodeWord(g.encode(nil, p), &w); err != nil {
-			t.Fatal(err)
-		}
-		for _, e := range w.spent {
-			told[e.Tenant] = e.Units
-		}
-	}
-	for id := range uint64(n) {
-		if told[id] != id+1 {
-			t.Errorf("of tenant %d was told %d", id, told[id])
-		}
-	}
-}
-
-func FuzzWord(f *testing.F) {
-	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x01cccccccc\x07\x01dddd\x01\x10"))
-	f.Fuzz(func(t *testing.T, b []byte) {
-		var w word
-		if decodeWord(b, &w) == nil && len(w.spent)*9+len(w.hints)*6 > len(b) {
-			t.Error("more was read than is there")
-		}
-	})
-}
--- /dev/null
+++ b/dataplane/limiter/flight.go
@@ -0,0 +1,113 @@
+package limiter
+
+import "example.org/silverscale/dataplane/balance"
+
+// Request is what the course of a request depends on. Times are in
+// milliseconds on the host's clock.
+type Request struct {
+	Service    string
+	Bulk       bool // a large answer
+	Repeatable bool // it may run more than once
+	Held       bool // its body is there in full and can be sent again
+	Tries      int  // servers that it may be sent to
+	ArrivedMs  float64
+	DeadlineMs float64
+	AimMs      float64 // to be answered within; 0: none
+}
+
+// Flight is the course of one request to servers: one after the other, or a
+// second one beside the first where that is slow.
+type Flight struct {
+	l      *Limiter
+	r      Request
+	choice balance.Request
+	out    int // tries that have not ended
+	sent   int
+	ran    bool
+	came   bool // it has reached a server: another one is charged to the budget
+}
+
+// NewFlight begins the course of a request that was admitted.
+func (l *Limiter) NewFlight(r Request) *Flight {
+	r.Tries = max(1, r.Tries)
+	return &Flight{l: l, r: r, choice: balance.Request{Service: r.Service, Bulk: r.Bulk}}
+}
+
+// Parallel tells whether two servers may have the request at the same time.
+func (f *Flight) Parallel() bool { return f.r.Repeatable && f.r.Held && f.r.Tries > 1 }
+
+// Launch takes a server for one more try, nil where there is none. Where the
+// request was never sent, waitMs tells when to come back: it is refused.
+func (f *Flight) Launch(now float64, hedge bool) (m *balance.Member, waitMs float64, refused bool) {
+	left := f.r.DeadlineMs - now
+	if left <= 0 || f.sent >= f.r.Tries {
+		return nil, 0, false
+	}
+	// A queue that is longer than the aim allows serves nobody better: what is beyond
+	// is told at once to come back.
+	if aim := f.r.ArrivedMs + f.r.AimMs - now; f.r.AimMs > 0 && aim > 0 {
+		left = min(left, aim)
+	} else if f.r.AimMs > 0 {
+		left /= 2
+	}
+	f.choice.LeftMs, f.choice.Idle = left, hedge
+	further := f.came || hedge // what reaches a server once more comes out of what was saved up
+	m, waitMs = f.l.choose(now, f.choice, further)
+	if m == nil {
+		return nil, waitMs, !further
+	}
+	f.choice.Tried = append(f.choice.Tried, m)
+	f.out++
+	f.sent++
+	return m, 0, false
+}
+
+// Next is what follows on the end of a try.
+type Next int
+
+// What follows.
+const (
+	Deliver  Next = iota // its answer is the final one
+	Await                // another try is out
+	Relaunch             // a further try may be made
+	Stop                 // none may: see Status
+)
+
+// Ended notes how a try ended. ran: the server may have run it. answered: it
+// brought an answer that a client can be given; started: a part of a body that
+// is not held is gone.
+func (f *Flight) Ended(result balance.Result, ran, answered, started bool) Next {
+	f.out--
+	f.ran = f.ran || ran
+	f.came = f.came || result != balance.Unsent
+	switch {
+	case answered && (result == balance.Good || !f.r.Repeatable):
+		return Deliver
+	case f.out > 0:
+		return Await // the other one may still answer; a failure of a server's is kept till then
+	case f.ran && !f.r.Repeatable, started:
+		return Stop
+	}
+	return Relaunch
+}
+
+// Status is the status of the final answer where no server gave one: 503
+// promises that it has not run.
+func (f *Flight) Status(now float64, started bool) int {
+	switch {
+	case !f.ran && !started:
+		return 503
+	case now >= f.r.DeadlineMs:
+		return 504
+	}
+	return 502
+}
+
+// HedgeMs is after what time a second server is tried beside the first; false
+// where that is of no use.
+func (f *Flight) HedgeMs() (float64, bool) {
+	if !f.Parallel() {
+		return 0, false
+	}
+	return f.l.hedgeMs(f.r.Service, f.r.AimMs)
+}
--- /dev/null
+++ b/dataplane/limiter/limiter.go
@@ -0,0 +1,159 @@
+// Package limiter holds the decisions of one limiter: whether a tenant's quota
+// lets a request through, which server gets it, whether a further try may be
+// made, and what other limiters are told. It does no I/O, reads no clock and
+// starts no goroutine: the gateway hosts it on sockets, the simulation on a
+// clock of its own. Times are in milliseconds on the host's steady clock.
+package limiter
+
+import (
+	"example.org/silverscale/api"
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/dataplane/words"
+)
+
+const (
+	// Further tries that reach a server are saved up for: so many for each request, up
+	// to a most. All limiters' shares together stay within the operator's budget: below
+	// its ratio, and each saves up its part of the slack alone.
+	retryShare = 0.15
+	retryPart  = 0.75 // of the operator's ratio
+	retryMost  = 10.0
+	slackPart  = 0.6 // of the operator's slack
+
+	// A repeatable request whose answer takes hedgeAfter times the typical one is sent
+	// to a second server too, where one is free and the aim can still be met.
+	hedgeAfter = 2.6
+	hedgeRoom  = 0.5 // of the typical time must be left to the aim
+)
+
+// Config is what a limiter is.
+type Config struct {
+	Self uint64 // hash of its name
+	Life uint64 // this start of it
+	Zone string
+	Seed uint64
+	// The operator's budget of further tries over all limiters; 0: none is set.
+	RetryRatio, RetrySlack float64
+}
+
+// Limiter is one limiter. It is not safe for concurrent use.
+type Limiter struct {
+	cfg     Config
+	quota   *quota.Set
+	balance *balance.Set
+	teller  *words.Teller
+	retries map[string]float64 // further tries saved up, by service
+	peers   map[uint64]bool
+}
+
+// New returns a limiter that starts now.
+func New(now float64, cfg Config) *Limiter {
+	return &Limiter{cfg: cfg, quota: quota.New(now, cfg.Self), balance: balance.New(cfg.Zone, cfg.Self, cfg.Seed),
+		teller: words.NewTeller(cfg.Self, cfg.Life, cfg.Zone), retries: map[string]float64{}, peers: map[uint64]bool{}}
+}
+
+// Plans takes over the tenants' quotas of a configuration, by the hashes of their names.
+func (l *Limiter) Plans(now float64, plans map[uint64]quota.Plan) { l.quota.Plans(now, plans) }
+
+// Servers takes over a list of servers.
+func (l *Limiter) Servers(now float64, list []api.Server) { l.balance.Update(now, list) }
+
+// Peers takes over which other limiters there are.
+func (l *Limiter) Peers(now float64, peers []words.Peer) {
+	var ids, zone []uint64
+	clear(l.peers)
+	for _, p := range peers {
+		l.peers[p.ID] = true
+		ids = append(ids, p.ID)
+		if p.Zone == l.cfg.Zone {
+			zone = append(zone, p.ID)
+		}
+	}
+	l.quota.Members(now, ids)
+	l.balance.Peers(zone)
+	l.teller.Peers(peers, l.quota.Bits())
+}
+
+// Admit takes one unit of a tenant's quota, or tells when to come back.
+func (l *Limiter) Admit(now float64, tenant uint64) (waitMs float64, ok bool) {
+	return l.quota.Admit(now, tenant)
+}
+
+// SaveUp counts a request to a service toward the further tries that may be made.
+func (l *Limiter) SaveUp(service string) {
+	share, most := retryShare, retryMost
+	if l.cfg.RetryRatio > 0 {
+		share = min(share, retryPart*l.cfg.RetryRatio)
+	}
+	if l.cfg.RetrySlack > 0 {
+		most = max(1, min(most, slackPart*l.cfg.RetrySlack/float64(len(l.peers)+1)))
+	}
+	saved, begun := l.retries[service]
+	if !begun {
+		saved = 1 // one that has just started can make up for one server's refusal
+	}
+	l.retries[service] = min(most, saved+share)
+}
+
+// choose takes a server for a request, nil where none will do: waitMs is then
+// when to come back. A further try, of what has reached a server before, comes
+// out of what was saved up.
+func (l *Limiter) choose(now float64, r balance.Request, further bool) (m *balance.Member, waitMs float64) {
+	if further && l.retries[r.Service] < 1 {
+		return nil, 0
+	}
+	m, waitMs = l.balance.Choose(now, r)
+	if m == nil {
+		return nil, waitMs
+	}
+	if further {
+		l.retries[r.Service]--
+	}
+	l.balance.Sent(m)
+	return m, 0
+}
+
+// Done notes how a try ended.
+func (l *Limiter) Done(now float64, m *balance.Member, r balance.Result, tookMs float64) {
+	l.balance.Done(now, m, r, tookMs)
+}
+
+// hedgeMs is after what time a second server is tried beside the first, for a
+// request with an aim (0: none); false where that is of no use.
+func (l *Limiter) hedgeMs(service string, aimMs float64) (float64, bool) {
+	typical := l.balance.Work(service)
+	wait := hedgeAfter * typical
+	return wait, typical > 0 && (aimMs == 0 || wait+hedgeRoom*typical < aimMs)
+}
+
+// Tick hands out the words to other limiters that are due. The host calls it
+// every [words.TickMs].
+func (l *Limiter) Tick(now float64, send func(to uint64, w *words.Word)) {
+	l.teller.Tick(now, l.quota, l.balance, send)
+}
+
+// Hear takes in a word of another limiter. Words of strangers are passed over.
+func (l *Limiter) Hear(now float64, w *words.Word) {
+	if !l.peers[w.From] {
+		return
+	}
+	if w.Group.Bits > 0 {
+		l.quota.HeardGroup(now, w.From, w.Life, w.AgeMs, w.Group)
+	} else {
+		l.quota.Heard(now, w.From, w.Life, w.AgeMs, w.Spent)
+	}
+	l.balance.Heard(now, w.From, w.Hints)
+}
+
+// Others is how many other limiters there are; Targets how many of them are told something.
+func (l *Limiter) Others() int { return len(l.peers) }
+
+// Targets is how many of the others this limiter sends words.
+func (l *Limiter) Targets() int { return l.teller.Targets() }
+
+// Members returns the servers of all services, by id.
+func (l *Limiter) Members() []*balance.Member { return l.balance.Members() }
+
+// Balance returns what a tenant's bucket holds here, for reports.
+func (l *Limiter) Balance(now float64, tenant uint64) float64 { return l.quota.Balance(now, tenant) }
--- /dev/null
+++ b/dataplane/limiter/limiter_test.go
@@ -0,0 +1,152 @@
+package limiter
+
+import (
+	"math/rand/v2"
+	"slices"
+	"testing"
+
+	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/dataplane/words"
+)
+
+const tenantID = 9
+
+// fleet is a large fleet whose words arrive at once, unless they are lost.
+type fleet struct {
+	ids  []uint64
+	at   map[uint64]*Limiter
+	dead map[uint64]bool
+	lost func(from, to uint64) bool
+	rng  *rand.Rand
+	sent int
+}
+
+func newFleet(n int, p quota.Plan) *fleet {
+	f := &fleet{at: map[uint64]*Limiter{}, dead: map[uint64]bool{}, rng: rand.New(rand.NewPCG(1, 2)),
+		lost: func(_, _ uint64) bool { return false }}
+	for i := range n {
+		f.ids = append(f.ids, uint64(i)*0x9e3779b97f4a7c15+1)
+	}
+	for _, id := range f.ids {
+		f.at[id] = New(0, Config{Self: id, Life: id, Zone: zone(id), Seed: id})
+	}
+	f.know(0)
+	for _, l := range f.at {
+		l.Plans(0, map[uint64]quota.Plan{tenantID: p})
+	}
+	return f
+}
+
+func zone(id uint64) string { return []string{"a", "b", "c"}[id%3] }
+
+// know tells all limiters who lives.
+func (f *fleet) know(now float64) {
+	for id, l := range f.at {
+		var others []words.Peer
+		for _, o := range f.ids {
+			if o != id && !f.dead[o] {
+				others = append(others, words.Peer{ID: o, Zone: zone(o)})
+			}
+		}
+		l.Peers(now, others)
+	}
+}
+
+// play has the fleet asked so often and returns when requests were admitted.
+func (f *fleet) play(fromMs, toMs, perS float64) (at []float64) {
+	for now := fromMs; now < toMs; now += words.TickMs {
+		for _, id := range f.ids {
+			l := f.at[id]
+			if f.dead[id] {
+				continue
+			}
+			if f.rng.Float64() < perS*words.TickMs/1000/float64(len(f.ids)) {
+				if _, ok := l.Admit(now, tenantID); ok {
+					at = append(at, now)
+				}
+			}
+			l.Tick(now, func(to uint64, w *words.Word) {
+				f.sent++
+				if !f.dead[to] && !f.lost(id, to) {
+					f.at[to].Hear(now, w)
+				}
+			})
+		}
+	}
+	return at
+}
+
+func most(at []float64, windowMs float64) (n int) {
+	for i, j := 0, 0; i < len(at); i++ {
+		for at[i]-at[j] > windowMs {
+			j++
+		}
+		n = max(n, i-j+1)
+	}
+	return n
+}
+
+func bound(p quota.Plan) int { return int((p.Rate*5+p.Burst)*1.1 + 20) }
+
+// In a fleet that forms groups a tenant that asks many times its quota gets its
+// quota, neither more nor much less; also where every tenth word is lost.
+func TestGroupsShareTheQuota(t *testing.T) {
+	t.Parallel()
+	p := quota.Plan{Rate: 200, Burst: 100}
+	for name, loss := range map[string]float64{"calm": 0, "words are lost": 0.1} {
+		f := newFleet(100, p)
+		f.lost = func(_, _ uint64) bool { return f.rng.Float64() < loss }
+		at := f.play(0, 15000, 900)
+		if n := most(at, 5000); n > bound(p) {
+			t.Errorf("%s: %d in 5 s, %d at most", name, n, bound(p))
+		}
+		at = slices.DeleteFunc(at, func(ms float64) bool { return ms < 5000 })
+		if n := len(at); n < 1850 || n > 2150 {
+			t.Errorf("%s: %d of some 2000 in 10 s", name, n)
+		}
+		if perS := float64(f.sent) / 100 / 15; perS > 800 {
+			t.Errorf("%s: %.0f words a second from each", name, perS)
+		}
+	}
+}
+
+// A third of the limiters die at once, some groups' reporters among them, and
+// nobody knows for 3 s; then all do. The quota holds all the time and is used
+// again in full. Fails where a group is heard through one of its limiters only.
+func TestGroupsOutliveReporters(t *testing.T) {
+	t.Parallel()
+	p := quota.Plan{Rate: 200, Burst: 100}
+	f := newFleet(100, p)
+	at := f.play(0, 6000, 900)
+	for i, id := range f.ids {
+		f.dead[id] = i%3 == 0
+	}
+	at = append(at, f.play(6000, 9000, 900)...)
+	f.know(9000)
+	at = append(at, f.play(9000, 20000, 900)...)
+	f.know(20000)
+	late := f.play(20000, 26000, 900)
+	if n := most(append(at, late...), 5000); n > bound(p) {
+		t.Errorf("%d in 5 s, %d at most", n, bound(p))
+	}
+	if n := len(late); n < 1050 || n > 1400 {
+		t.Errorf("%d of some 1200 in 6 s once all is known", n)
+	}
+}
+
+// A fleet that is cut in three stays in the quota once that is noticed.
+func TestCutGroupsHoldTheQuota(t *testing.T) {
+	t.Parallel()
+	p := quota.Plan{Rate: 200, Burst: 100}
+	f := newFleet(90, p)
+	f.play(0, 5000, 900)
+	f.lost = func(a, b uint64) bool { return zone(a) != zone(b) }
+	f.play(5000, 5000+quota.FreshMs, 900)
+	at := f.play(6000, 20000, 900)
+	if n := most(at, 5000); n > bound(p) {
+		t.Errorf("%d in 5 s, %d at most", n, bound(p))
+	}
+	if n := len(at); n < 800 {
+		t.Errorf("%d of some 2800 in 14 s: next to nothing is let through", n)
+	}
+}
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -27,6 +27,7 @@
 	lowShare = 0.5 // of the burst: below it, tenants are told of oftener
 	oftenMs  = 60.0
 	seldomMs = 250.0
+	shareMs  = 10.0 // for so long the part of the quotas is not counted anew
 )
 
 // Plan is a tenant's quota over all limiters: requests a second and the most
@@ -35,9 +36,14 @@
 
 // Set holds the buckets of one limiter. It is not safe for concurrent use.
 type Set struct {
+	self    uint64
 	startMs float64
 	tenants map[uint64]*tenant
 	peers   map[uint64]*peer // other limiters, by the hash of their names
+	bits    uint             // of an id that name its group; 0: all are one
+	groups  map[uint64]*group
+	share   float64 // as part found it ...
+	shareTo float64 // ... until then
 }
 
 type tenant struct {
@@ -45,9 +51,9 @@
 	balance float64
 	at      float64
 	spent   uint64 // admitted here since the start
-	told    uint64
-	toldAt  float64
-	again   bool // told once, to be told again against loss
+	own     told   // of it, to those who hear this limiter itself
+	grouped uint64 // let through by this limiter's group, as far as known, since the start
+	group   told   // of it, to other groups
 }
 
 type peer struct {
@@ -57,9 +63,9 @@
 	spent   map[uint64]uint64
 }
 
-// New returns a set of a limiter that starts now.
-func New(now float64) *Set {
-	return &Set{startMs: now, tenants: map[uint64]*tenant{}, peers: map[uint64]*peer{}}
+// New returns a set of a limiter that starts now, by the hash of its name.
+func New(now float64, self uint64) *Set {
+	return &Set{self: self, startMs: now, tenants: map[uint64]*tenant{}, peers: map[uint64]*peer{}, groups: map[uint64]*group{}}
 }
 
 // Plans takes over the plans of a new configuration. A bucket that runs goes on
@@ -106,18 +112,30 @@
 			delete(s.peers, id)
 		}
 	}
+	s.regroup(now)
+	s.shareTo = 0
 }
 
-// part is the share of each quota that this limiter may use with those it hears.
+// part is the share of each quota that this limiter may use with those it
+// hears. Counting them anew with each request would cost the more the larger
+// the fleet is.
 func (s *Set) part(now float64) float64 {
-	heard, all := 1.0, 1.0
-	for _, p := range s.peers {
-		all++
-		if now-p.heardAt <= FreshMs {
-			heard++
+	if now >= s.shareTo {
+		heard, all := 1.0, 1.0
+		for id, p := range s.peers {
+			all++
+			if s.direct(id) && now-p.heardAt <= FreshMs {
+				heard++
+			}
 		}
+		for _, g := range s.groups {
+			if now-g.at <= FreshMs {
+				heard += min(g.heard, g.size)
+			}
+		}
+		s.share, s.shareTo = heard/all, now+shareMs
 	}
-	return heard / all
+	return s.share
 }
 
 func (s *Set) refill(now float64, t *tenant) {
@@ -139,6 +157,7 @@
 	}
 	t.balance--
 	t.spent++
+	t.grouped++
 	return 0, true
 }
 
@@ -152,36 +171,51 @@
 // the less is left. Each figure is told once more, against loss.
 func (s *Set) Report(now float64, out []Spent) []Spent {
 	for id, t := range s.tenants {
-		if t.plan.Rate <= 0 || t.spent == t.told && !t.again {
-			continue
+		if t.plan.Rate > 0 && t.own.due(t.spent) && now-t.own.at >= s.pause(now, t) {
+			out = append(out, Spent{id, t.own.tell(now, t.spent)})
 		}
-		s.refill(now, t)
-		pause := seldomMs
-		if t.balance < lowShare*t.plan.Burst {
-			pause = oftenMs
-		}
-		if now-t.toldAt < pause {
-			continue
-		}
-		t.again = t.spent != t.told
-		t.told, t.toldAt = t.spent, now
-		out = append(out, Spent{id, t.spent})
 	}
 	return out
 }
 
+// pause is how seldom a tenant is told of.
+func (s *Set) pause(now float64, t *tenant) float64 {
+	if s.refill(now, t); t.balance < lowShare*t.plan.Burst {
+		return oftenMs
+	}
+	return seldomMs
+}
+
+// told is what was told of a figure that only grows.
+type told struct {
+	units uint64
+	at    float64
+	again bool // to be told once more, against loss
+}
+
+func (t *told) due(units uint64) bool { return t.units != units || t.again }
+
+func (t *told) tell(now float64, units uint64) uint64 {
+	t.again = t.units != units
+	t.units, t.at = units, now
+	return units
+}
+
 // Heard takes in the word of another limiter: which start of it speaks, for
 // how long that has run, and what it has spent. Figures are cumulative, so that
 // the next message heals a lost one.
 func (s *Set) Heard(now float64, from, life uint64, ageMs float64, spent []Spent) {
 	p := s.peers[from]
-	if p == nil {
+	if p == nil || !s.direct(from) {
 		return
 	}
 	if p.life != life {
 		p.life = life
 		clear(p.spent)
 	}
+	if now-p.heardAt > FreshMs {
+		s.shareTo = 0
+	}
 	p.heardAt = now
 	for _, e := range spent {
 		t := s.tenants[e.Tenant]
@@ -194,12 +228,18 @@
 		}
 		p.spent[e.Tenant] = max(before, e.Units)
 		if e.Units > before {
-			s.refill(now, t)
-			t.balance = bucket.Draw(t.balance, float64(e.Units-before), -t.plan.Burst-t.plan.Rate)
+			t.grouped += e.Units - before
+			s.draw(now, t, e.Units-before)
 		}
 	}
 }
 
+// draw takes what others let through, below nought too.
+func (s *Set) draw(now float64, t *tenant, units uint64) {
+	s.refill(now, t)
+	t.balance = bucket.Draw(t.balance, float64(units), -t.plan.Burst-t.plan.Rate)
+}
+
 // Balance returns what a tenant's bucket holds, for reports.
 func (s *Set) Balance(now float64, id uint64) float64 {
 	t := s.tenants[id]
--- a/dataplane/quota/quota_test.go
+++ b/dataplane/quota/quota_test.go
@@ -7,17 +7,17 @@
 
 const tenantID = 9
 
-// group is a set of limiters that tell each other, in groups that may be cut.
-type group struct {
+// fleet is a set of limiters that tell each other, in parts that may be cut.
+type fleet struct {
 	sets []*Set
 	cut  func(i, j int) bool
 	rng  *rand.Rand
 }
 
-func newGroup(n int, p Plan) *group {
-	g := &group{cut: func(int, int) bool { return false }, rng: rand.New(rand.NewPCG(1, 2))}
+func newFleet(n int, p Plan) *fleet {
+	g := &fleet{cut: func(int, int) bool { return false }, rng: rand.New(rand.NewPCG(1, 2))}
 	for i := range n {
-		s := New(0)
+		s := New(0, uint64(i+1))
 		var others []uint64
 		for j := range n {
 			if j != i {
@@ -33,7 +33,7 @@
 
 // play has every limiter asked at a rate, in steps of 10 ms, and returns when
 // requests were admitted.
-func (g *group) play(fromMs, toMs, perS float64) (at []float64) {
+func (g *fleet) play(fromMs, toMs, perS float64) (at []float64) {
 	for now := fromMs; now < toMs; now += 10 {
 		for i, s := range g.sets {
 			if g.rng.Float64() < perS/100/float64(len(g.sets)) {
@@ -69,7 +69,7 @@
 // A tenant that asks many times its quota gets its quota, over all limiters.
 func TestQuotaIsShared(t *testing.T) {
 	p := Plan{Rate: 100, Burst: 100}
-	g := newGroup(15, p)
+	g := newFleet(15, p)
 	at := g.play(0, 20000, 600)
 	if n := most(at, 5000); n > bound(p) {
 		t.Errorf("%d in 5 s, %d at most", n, bound(p))
@@ -88,7 +88,7 @@
 		"two halves":  func(i, j int) bool { return i%2 != j%2 },
 		"one is deaf": func(i, j int) bool { return j == 0 },
 	} {
-		g := newGroup(12, p)
+		g := newFleet(12, p)
 		at := g.play(0, 8000, 600)
 		g.cut = cut
 		at = append(at, g.play(8000, 30000, 600)...)
@@ -112,7 +112,7 @@
 // A new version gives a running bucket no fresh burst; what others let through
 // is drawn below nought, and a bucket pays for a life only once.
 func TestBucketRunsOn(t *testing.T) {
-	g := newGroup(2, Plan{Rate: 10, Burst: 50})
+	g := newFleet(2, Plan{Rate: 10, Burst: 50})
 	s := g.sets[0]
 	s.Heard(0, 2, 5, 0, nil)
 	for range 60 {
@@ -135,7 +135,7 @@
 
 // The part of a limiter that is gone is kept back for a time.
 func TestPartOfTheGone(t *testing.T) {
-	g := newGroup(4, Plan{Rate: 10, Burst: 50})
+	g := newFleet(4, Plan{Rate: 10, Burst: 50})
 	s := g.sets[0]
 	hear := func(now float64) {
 		for id := uint64(2); id <= 3; id++ {
--- /dev/null
+++ b/dataplane/words/teller.go
@@ -0,0 +1,215 @@
+package words
+
+import (
+	"cmp"
+	"slices"
+
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/quota"
+)
+
+// How often words go out, in milliseconds. The host calls [Teller.Tick] every TickMs.
+const (
+	TickMs      = 6.0   // between two words to limiters of the zone ...
+	otherMs     = 30.0  // ... to others about servers of theirs ...
+	farMs       = 150.0 // ... and about those that are of neither
+	aliveMs     = 150.0 // a third of quota.FreshMs: two words in a row may be lost
+	mostHinted  = 24    // of more limiters than this, those of other zones get no hints ...
+	hintedAlong = 6     // ... and in the zone so many on each side of this one, by their ids
+)
+
+// Peer is another limiter.
+type Peer struct {
+	ID   uint64 // hash of its name
+	Zone string
+}
+
+// Teller says whom a limiter tells what, and when.
+type Teller struct {
+	self, life uint64
+	zone       string
+	targets    []*target // by id
+	spent      []quota.Spent
+	digest     []quota.Spent
+	hints      []balance.Hint
+	told       []quota.Spent
+	word       Word
+}
+
+// target is a limiter that is told something, and what it was not told yet.
+type target struct {
+	Peer
+	near   bool // in the zone
+	member bool // of this limiter's group: is told of its own units
+	across bool // is told of its group's
+	hinted bool
+
+	hints  []balance.Hint // by server
+	theirs bool           // some of them are about servers of its zone
+	due    []quota.Spent  // units by tenant: this limiter's or its group's
+	sent   float64
+}
+
+// NewTeller returns the teller of one start of a limiter.
+func NewTeller(self, life uint64, zone string) *Teller {
+	return &Teller{self: self, life: life, zone: zone}
+}
+
+// Peers says which other limiters there are, and by how many bits of their ids
+// they form groups ([quota.Set.Bits]).
+func (t *Teller) Peers(peers []Peer, bits uint) {
+	peers = slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
+	across := t.across(peers, bits)
+	along := t.along(peers)
+	had := map[uint64]*target{}
+	for _, x := range t.targets {
+		had[x.ID] = x
+	}
+	t.targets = t.targets[:0]
+	own := quota.GroupOf(t.self, bits)
+	for _, p := range peers {
+		near := p.Zone == t.zone
+		x := target{Peer: p, near: near, member: quota.GroupOf(p.ID, bits) == own, across: across[p.ID],
+			hinted: len(peers) < mostHinted || near && along[p.ID]}
+		if !x.member && !x.across && !x.hinted {
+			continue
+		}
+		if o := had[p.ID]; o != nil {
+			x.sent = o.sent
+			if o.member == x.member { // what was to be told is of the same kind
+				x.due, x.hints = o.due, o.hints
+			}
+		}
+		t.targets = append(t.targets, &x)
+	}
+}
+
+// across names the limiters of other groups that this one tells of its group.
+// Of k limiters of a group, by their ids, the i-th and the one after it tell
+// the i-th, (i+k)-th, ... of another.
+func (t *Teller) across(peers []Peer, bits uint) map[uint64]bool {
+	out := map[uint64]bool{}
+	if bits == 0 {
+		return out
+	}
+	byGroup := map[uint64][]uint64{}
+	own := quota.GroupOf(t.self, bits)
+	mates := []uint64{t.self}
+	for _, p := range peers {
+		if k := quota.GroupOf(p.ID, bits); k == own {
+			mates = append(mates, p.ID)
+		} else {
+			byGroup[k] = append(byGroup[k], p.ID)
+		}
+	}
+	slices.Sort(mates)
+	at, k := slices.Index(mates, t.self), len(mates)
+	for _, ids := range byGroup { // each in order, as peers is
+		for i, id := range ids {
+			if i%k == at || (i+1)%k == at {
+				out[id] = true
+			}
+		}
+	}
+	return out
+}
+
+// along names the limiters of the zone that are next to this one.
+func (t *Teller) along(peers []Peer) map[uint64]bool {
+	ring := []uint64{t.self}
+	for _, p := range peers {
+		if p.Zone == t.zone {
+			ring = append(ring, p.ID)
+		}
+	}
+	slices.Sort(ring)
+	at, out := slices.Index(ring, t.self), map[uint64]bool{}
+	for d := 1; d <= hintedAlong && d < len(ring); d++ {
+		out[ring[(at+d)%len(ring)]] = true
+		out[ring[(at-d+len(ring))%len(ring)]] = true
+	}
+	return out
+}
+
+// Targets is how many limiters this one tells something.
+func (t *Teller) Targets() int { return len(t.targets) }
+
+// Tick hands out the words that are due. A word is valid until send returns.
+func (t *Teller) Tick(now float64, q *quota.Set, b *balance.Set, send func(to uint64, w *Word)) {
+	t.spent = q.Report(now, t.spent[:0])
+	t.hints = b.Hints(t.hints[:0])
+	digest := quota.Digest{}
+	if q.Bits() > 0 {
+		digest = q.ReportGroup(now, t.digest[:0])
+		t.digest = digest.Spent
+	}
+	for _, x := range t.targets {
+		if x.hinted {
+			for _, h := range t.hints {
+				x.hint(h)
+				x.theirs = x.theirs || b.ZoneOf(h.Server) == x.Zone
+			}
+		}
+		switch {
+		case x.member:
+			x.owe(t.spent)
+		case x.across:
+			x.owe(digest.Spent)
+		}
+		pause := farMs
+		switch {
+		case x.near && (len(x.hints) > 0 || x.member):
+			pause = 0
+		case x.theirs, len(x.due) > 0:
+			pause = otherMs
+		}
+		since, alive := now-x.sent, x.member || x.across
+		if (len(x.hints)+len(x.due) > 0 && since >= pause) || alive && since >= aliveMs {
+			x.sent, x.theirs = now, false
+			send(x.ID, t.fill(now, x, digest))
+		}
+	}
+}
+
+// fill takes what a target is to be told into the word; what has no room waits.
+func (t *Teller) fill(now float64, x *target, d quota.Digest) *Word {
+	w := &t.word
+	w.From, w.Life, w.AgeMs = t.self, t.life, now
+	n := min(len(x.hints), mostHints)
+	w.Hints = append(w.Hints[:0], x.hints[:n]...)
+	x.hints = slices.Delete(x.hints, 0, n)
+	n = min(len(x.due), mostTold)
+	t.told = append(t.told[:0], x.due[:n]...)
+	x.due = slices.Delete(x.due, 0, n)
+	if x.across {
+		w.Spent, w.Group = nil, quota.Digest{Bits: d.Bits, Heard: d.Heard, Spent: t.told}
+	} else {
+		w.Spent, w.Group = t.told, quota.Digest{}
+	}
+	return w
+}
+
+// hint has a target told of a server: the newest load, and the last answer.
+func (x *target) hint(h balance.Hint) {
+	i, had := slices.BinarySearchFunc(x.hints, h, func(a, b balance.Hint) int { return cmp.Compare(a.Server, b.Server) })
+	if !had {
+		x.hints = slices.Insert(x.hints, i, h)
+		return
+	}
+	if h.Took == 0 {
+		h.Took = x.hints[i].Took
+	}
+	x.hints[i] = h
+}
+
+// owe has a target told of units: cumulative, so the newest figure stands for all before.
+func (x *target) owe(spent []quota.Spent) {
+	for _, e := range spent {
+		i, had := slices.BinarySearchFunc(x.due, e, func(a, b quota.Spent) int { return cmp.Compare(a.Tenant, b.Tenant) })
+		if had {
+			x.due[i] = e
+		} else {
+			x.due = slices.Insert(x.due, i, e)
+		}
+	}
+}
--- /dev/null
+++ b/dataplane/words/word.go
@@ -0,0 +1,142 @@
+// Package words is what limiters tell each other by datagrams, and who tells
+// whom and when: units that were let through, what is out at servers and how
+// long answers took. It does no I/O and reads no clock; times are in
+// milliseconds on the host's steady clock.
+package words
+
+import (
+	"encoding/binary"
+	"errors"
+
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/quota"
+)
+
+// A word in bytes. A lost one heals with the next: units are cumulative, loads
+// are levels. The last part is there only where limiters form groups, so that
+// versions without it are understood in small fleets.
+//
+//	"E1" | name hash u64 | life u64 | age in ms, uvarint
+//	     | n uvarint, n x (tenant hash u64, units uvarint)
+//	     | n uvarint, n x (server hash u32, out u8, took u8)
+//	     [ bits u8 | heard uvarint | n uvarint, n x (tenant hash u64, units uvarint) ]
+const (
+	magic = "E1"
+	// MaxSize is the size of the longest word, in bytes: it fits a datagram.
+	MaxSize   = 1200
+	mostTold  = 32 // tenants in one word
+	mostHints = 64 // servers in one word
+	mostBits  = 16
+)
+
+// Word is what one limiter tells another at a time.
+type Word struct {
+	From, Life uint64 // hash of the name, and one start of it
+	AgeMs      float64
+	Spent      []quota.Spent
+	Hints      []balance.Hint
+	Group      quota.Digest // Bits 0: none
+}
+
+// ErrWord tells that a datagram is no whole word.
+var ErrWord = errors.New("words: a datagram can't be read")
+
+// Append adds the word in bytes.
+func (w *Word) Append(b []byte) []byte {
+	b = append(b, magic...)
+	b = binary.BigEndian.AppendUint64(b, w.From)
+	b = binary.BigEndian.AppendUint64(b, w.Life)
+	b = binary.AppendUvarint(b, uint64(w.AgeMs))
+	b = appendSpent(b, w.Spent)
+	b = binary.AppendUvarint(b, uint64(len(w.Hints)))
+	for _, h := range w.Hints {
+		b = binary.BigEndian.AppendUint32(b, h.Server)
+		b = append(b, h.Out, h.Took)
+	}
+	if w.Group.Bits > 0 {
+		b = append(b, byte(w.Group.Bits))
+		b = binary.AppendUvarint(b, uint64(w.Group.Heard))
+		b = appendSpent(b, w.Group.Spent)
+	}
+	return b
+}
+
+func appendSpent(b []byte, spent []quota.Spent) []byte {
+	b = binary.AppendUvarint(b, uint64(len(spent)))
+	for _, e := range spent {
+		b = binary.BigEndian.AppendUint64(b, e.Tenant)
+		b = binary.AppendUvarint(b, e.Units)
+	}
+	return b
+}
+
+// reader reads on while all is well.
+type reader struct {
+	b  []byte
+	ok bool
+}
+
+func (r *reader) take(n int) []byte {
+	if !r.ok || len(r.b) < n {
+		r.ok = false
+		return nil
+	}
+	out := r.b[:n]
+	r.b = r.b[n:]
+	return out
+}
+
+func (r *reader) u64() uint64 {
+	if b := r.take(8); b != nil {
+		return binary.BigEndian.Uint64(b)
+	}
+	return 0
+}
+
+func (r *reader) uvarint() uint64 {
+	v, n := binary.Uvarint(r.b)
+	if !r.ok || n <= 0 {
+		r.ok = false
+		return 0
+	}
+	r.b = r.b[n:]
+	return v
+}
+
+func (r *reader) spent(out []quota.Spent) []quota.Spent {
+	for n := r.uvarint(); n > 0 && r.ok; n-- {
+		if e := (quota.Spent{Tenant: r.u64(), Units: r.uvarint()}); r.ok {
+			out = append(out, e)
+		}
+	}
+	return out
+}
+
+// Decode reads a word. Anything that is not whole is [ErrWord]. What was in the
+// word before is written over.
+func (w *Word) Decode(b []byte) error {
+	r := reader{b, len(b) <= MaxSize}
+	if string(r.take(len(magic))) != magic {
+		return ErrWord
+	}
+	w.From, w.Life, w.AgeMs = r.u64(), r.u64(), float64(r.uvarint())
+	w.Spent = r.spent(w.Spent[:0])
+	w.Hints = w.Hints[:0]
+	for n := r.uvarint(); n > 0 && r.ok; n-- {
+		if h := r.take(6); h != nil {
+			w.Hints = append(w.Hints, balance.Hint{Server: binary.BigEndian.Uint32(h), Out: h[4], Took: h[5]})
+		}
+	}
+	w.Group = quota.Digest{Spent: w.Group.Spent[:0]}
+	if r.ok && len(r.b) > 0 {
+		bits := r.take(1)[0]
+		heard := r.uvarint()
+		w.Group.Bits, w.Group.Heard = uint(bits), int(min(heard, 1<<30))
+		w.Group.Spent = r.spent(w.Group.Spent)
+		r.ok = r.ok && bits > 0 && bits <= mostBits
+	}
+	if !r.ok || len(r.b) != 0 {
+		return ErrWord
+	}
+	return nil
+}
--- /dev/null
+++ b/dataplane/words/words_test.go
@@ -0,0 +1,124 @@
+package words
+
+import (
+	"bytes"
+	"reflect"
+	"testing"
+
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/quota"
+)
+
+// More tenants than one word holds are all told: the rest goes with the next
+// one. Fails where what did not fit is taken for told.
+func TestAllTenantsAreTold(t *testing.T) {
+	t.Parallel()
+	teller := NewTeller(1, 1, "z")
+	x := &target{member: true}
+	const n = 100
+	for id := range uint64(n) {
+		x.owe([]quota.Spent{{Tenant: id * 7919 % n, Units: id*7919%n + 1}})
+	}
+	told := map[uint64]uint64{}
+	for words := 0; len(x.due) > 0; words++ {
+		if words > n/mostTold {
+			t.Fatalf("%d tenants are left after %d words", len(x.due), words)
+		}
+		var w Word
+		if err := w.Decode(teller.fill(0, x, quota.Digest{}).Append(nil)); err != nil {
+			t.Fatal(err)
+		}
+		for _, e := range w.Spent {
+			told[e.Tenant] = e.Units
+		}
+	}
+	for id := range uint64(n) {
+		if told[id] != id+1 {
+			t.Errorf("of tenant %d was told %d", id, told[id])
+		}
+	}
+}
+
+// The longest word fits a datagram, and is read as it was written.
+func TestLongestWord(t *testing.T) {
+	t.Parallel()
+	w := Word{From: 1 << 63, Life: 1 << 62, AgeMs: 1 << 40, Group: quota.Digest{Bits: 4, Heard: 300}}
+	for i := range mostHints {
+		w.Hints = append(w.Hints, balance.Hint{Server: uint32(i), Out: 255, Took: 255})
+	}
+	for i := range mostTold {
+		w.Group.Spent = append(w.Group.Spent, quota.Spent{Tenant: uint64(i), Units: 1<<64 - 1})
+	}
+	b := w.Append(nil)
+	var got Word
+	if err := got.Decode(b); err != nil || len(b) > MaxSize {
+		t.Fatalf("%d bytes, %v", len(b), err)
+	}
+	got.Spent = w.Spent // none in both
+	if !reflect.DeepEqual(got, w) {
+		t.Errorf("read %+v", got)
+	}
+}
+
+// In a fleet of any size each limiter has a bounded number of others to tell,
+// and each of another group is told of a group by two of it.
+func TestTargetsStayFew(t *testing.T) {
+	t.Parallel()
+	for n, most := range map[int]int{11: 10, 24: 23, 100: 60, 300: 90, 1000: 160} {
+		var all []Peer
+		for i := range n {
+			all = append(all, Peer{uint64(i)*0x9e3779b97f4a7c15 + 1, []string{"a", "b", "c"}[i%3]})
+		}
+		bits := quota.GroupBits(n)
+		told := map[uint64]map[uint64]int{} // by whom is told, of which group, how often
+		for i, p := range all {
+			teller := NewTeller(p.ID, 1, p.Zone)
+			var others []Peer
+			for j, o := range all {
+				if j != i {
+					others = append(others, o)
+				}
+			}
+			teller.Peers(others, bits)
+			if teller.Targets() > most {
+				t.Errorf("%d limiters: one tells %d others", n, teller.Targets())
+			}
+			for _, x := range teller.targets {
+				if told[x.ID] == nil {
+					told[x.ID] = map[uint64]int{}
+				}
+				if x.member || x.across {
+					told[x.ID][quota.GroupOf(p.ID, bits)]++
+				}
+			}
+		}
+		if bits == 0 {
+			continue
+		}
+		for _, p := range all {
+			for k := range uint64(1) << bits {
+				if got := told[p.ID][k]; k != quota.GroupOf(p.ID, bits) && got != 2 {
+					t.Fatalf("%d limiters: %x is told of group %d by %d of it", n, p.ID, k, got)
+				}
+			}
+		}
+	}
+}
+
+func FuzzWord(f *testing.F) {
+	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x01cccccccc\x07\x01dddd\x01\x10"))
+	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x00\x00\x04\x11\x01cccccccc\x07"))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		var w, again Word
+		if w.Decode(b) != nil {
+			return
+		}
+		once := w.Append(nil)
+		if err := again.Decode(once); err != nil {
+			t.Fatalf("%x was read as %x, which can't be read", b, once)
+		}
+		if twice := again.Append(nil); !bytes.Equal(once, twice) {
+			t.Fatalf("%x, then %x", once, twice)
+		}
+	})
+}
--- a/emulator/client.go
+++ b/emulator/client.go
@@ -5,16 +5,15 @@
 	"fmt"
 	"hash/crc32"
 	"io"
-	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
 	"sync"
 	"time"
 
-	"github.com/HdrHistogram/hdrhistogram-go"
-
 	"example.org/silverscale/dataplane/h1"
+	"example.org/silverscale/judge"
+	"example.org/silverscale/scenario"
 )
 
 const (
@@ -28,8 +27,7 @@
 	f     *Fleet
 	mu    sync.Mutex
 	rng   *rand.Rand
-	stats map[string]*ClassStats
-	secs  []Second
+	tally *judge.Tally
 	hot   string  // this tenant sends ...
 	hotX  float64 // ... so many times its usual
 	idle  map[string][]*clientConn
@@ -37,23 +35,13 @@
 	seq   int
 }
 
-// ClassStats is what became of a class's requests.
-type ClassStats struct {
-	Asked, InAim, Late, Beyond, Refused, Failed, Tries int                     // Beyond: 429, beyond a quota
-	Latency                                            *hdrhistogram.Histogram // of answers with success, in microseconds
-}
-
 type clientConn struct {
 	net.Conn
 	in *bufio.Reader
 }
 
 func newLoad(f *Fleet) *load {
-	l := &load{f: f, rng: rand.New(rand.NewPCG(f.spec.Seed, 9)), stats: map[string]*ClassStats{}, idle: map[string][]*clientConn{},
-		secs: make([]Second, int(math.Ceil(f.spec.LengthS))+1)}
-	for _, c := range f.spec.Classes {
-		l.stats[c.Name] = &ClassStats{Latency: hdrhistogram.New(1, 60_000_000, 3)}
-	}
+	l := &load{f: f, rng: rand.New(rand.NewPCG(f.spec.Seed, 9)), tally: judge.NewTally(f.spec), idle: map[string][]*clientConn{}}
 	return l
 }
 
@@ -68,7 +56,7 @@
 				if l.hot != "" {
 					x = 1 + (l.hotX-1)*l.share(l.hot)
 					if l.rng.Float64() < (l.hotX-1)*l.share(l.hot)/x {
-						t = l.f.tenant(l.hot)
+						t = l.f.spec.Tenant(l.hot)
 					}
 				}
 				pause := l.rng.ExpFloat64() / (c.PerS * x)
@@ -83,10 +71,10 @@
 	l.tasks.Wait()
 }
 
-func (l *load) share(name string) float64 { return l.f.tenant(name).Share / l.f.spec.shares() }
+func (l *load) share(name string) float64 { return l.f.spec.Tenant(name).Share / l.f.spec.Shares() }
 
-func (l *load) tenant() *Tenant {
-	x := l.rng.Float64() * l.f.spec.shares()
+func (l *load) tenant() *scenario.Tenant {
+	x := l.rng.Float64() * l.f.spec.Shares()
 	for i := range l.f.spec.Tenants {
 		t := &l.f.spec.Tenants[i]
 		if x -= t.Share; x < 0 {
@@ -97,7 +85,7 @@
 }
 
 // request is one client's request, with its further tries.
-func (l *load) request(c *Class, t *Tenant, zone, client, n int) {
+func (l *load) request(c *scenario.Class, t *scenario.Tenant, zone, client, n int) {
 	began := time.Now()
 	deadline := began.Add(time.Duration(c.DeadlineMs * float64(time.Millisecond)))
 	status, tries := 0, 0
@@ -114,7 +102,7 @@
 		status, wait, unread = l.try(c, t, node, id, deadline)
 		promise := status == 429 || status == 503 || status == 408 || status == 421
 		if status/100 == 2 || status == 400 || status == 401 || status == 404 || status == 413 ||
-			!repeatable(c) && !promise && !unread {
+			!c.Repeatable() && !promise && !unread {
 			break
 		}
 		pause := max(wait, time.Duration(tries*10)*time.Millisecond)
@@ -123,38 +111,12 @@
 		}
 		time.Sleep(pause)
 	}
-	took := time.Since(began)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	s, sec := l.stats[c.Name], &l.secs[min(len(l.secs)-1, max(0, int(began.Sub(l.f.ledger.start).Seconds())))]
-	s.Asked++
-	sec.Asked++
-	s.Tries += tries
-	switch {
-	case status/100 == 2 && inMs(took) <= c.AimMs:
-		s.InAim++
-		sec.InAim++
-	case status/100 == 2:
-		s.Late++
-		sec.Late++
-	case status == 429:
-		s.Beyond++
-		sec.Beyond++
-	case status == 503:
-		s.Refused++
-		sec.Refused++
-	default:
-		s.Failed++
-		sec.Failed++
-	}
-	if status/100 == 2 {
-		s.Latency.RecordValue(took.Microseconds()) // out of range only past the deadline
-	}
+	l.tally.Add(c, l.f.since(began), status, tries, time.Since(began))
 }
 
 // try sends a request once. unread tells that the limiter can't have read it.
-func (l *load) try(c *Class, t *Tenant, n *node, id string, deadline time.Time) (status int, wait time.Duration, unread bool) {
-	conn, err := l.conn(n, repeatable(c))
+func (l *load) try(c *scenario.Class, t *scenario.Tenant, n *node, id string, deadline time.Time) (status int, wait time.Duration, unread bool) {
+	conn, err := l.conn(n, c.Repeatable())
 	if err != nil {
 		return 0, 0, true
 	}
@@ -163,7 +125,7 @@
 		body[i] = id[i%len(id)]
 	}
 	key := l.f.key(t.Name)
-	l.f.ledger.send(id, &sentTry{class: c, tenant: t.Name, key: key, body: crc32.ChecksumIEEE(body)})
+	l.f.ledger.Sent(id, &judge.Try{Class: c, Tenant: t.Name, Key: key, Body: crc32.ChecksumIEEE(body)})
 	conn.SetDeadline(deadline)
 	method := "GET"
 	if len(body) > 0 {
@@ -189,11 +151,11 @@
 		conn.Close()
 		return 0, 0, false
 	}
-	l.f.ledger.answered(id, h.Status, h.Get("Server-Seal"), got)
+	l.f.ledger.Answered(id, h.Status, h.Get("Server-Seal"), got)
 	if v, err := strconv.ParseFloat(h.Get("Retry-After"), 64); err == nil && v > 0 && v < 60 {
 		wait = time.Duration(v * float64(time.Second))
 	}
-	if h.Closes() || !repeatable(c) {
+	if h.Closes() || !c.Repeatable() {
 		conn.Close()
 	} else {
 		l.mu.Lock()
@@ -225,5 +187,3 @@
 	}
 	return &clientConn{c, bufio.NewReader(c)}, nil
 }
-
-func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -15,22 +15,30 @@
 	"sync/atomic"
 	"syscall"
 	"time"
+
+	"example.org/silverscale/judge"
+	"example.org/silverscale/scenario"
 )
 
 const (
-	againAfter = 300 * time.Millisecond // a process that ended is started again
-	readyWait  = 30 * time.Second
-	killWait   = 7 * time.Second // after SIGTERM
-	firstIP    = 10              // 127.10.0.1 is the first machine of the first zone
+	againAfter  = 300 * time.Millisecond // a process that ended is started again
+	readyWait   = 30 * time.Second
+	killWait    = 7 * time.Second // after SIGTERM
+	firstIP     = 10              // 127.10.0.1 is the first machine of the first zone
+	mostPerZone = 100
 )
 
+// epoch is what times on the steady clock are counted from.
+var epoch = time.Now()
+
 // Fleet is a fleet that runs, with its stand-ins.
 type Fleet struct {
-	spec     *Spec
+	spec     *scenario.Day
 	program  []string // the gateway and its arguments
 	dir      string
 	log      io.Writer
-	ledger   *ledger
+	ledger   *judge.Ledger
+	start    atomic.Int64 // of traffic, in ns since epoch
 	platform *platform
 	nodes    []*node
 	operator *operator
@@ -58,8 +66,18 @@
 }
 
 // NewFleet lays a fleet out in a folder. Program is the gateway's command line.
-func NewFleet(spec *Spec, program []string, dir string, log io.Writer) (*Fleet, error) {
-	f := &Fleet{spec: spec, program: program, dir: dir, log: log, ledger: newLedger(), rng: rand.New(rand.NewPCG(spec.Seed, 3))}
+func NewFleet(spec *scenario.Day, program []string, dir string, log io.Writer) (*Fleet, error) {
+	if spec.PerZone > mostPerZone {
+		return nil, fmt.Errorf("emulator: machines_per_zone: %d: up to %d; more can be simulated", spec.PerZone, mostPerZone)
+	}
+	for i := range spec.Troubles {
+		if t := &spec.Troubles[i]; !t.Emulated() {
+			return nil, fmt.Errorf("emulator: troubles.%d.kind: %s can only be simulated", i, t.Kind)
+		}
+	}
+	f := &Fleet{spec: spec, program: program, dir: dir, log: log, rng: rand.New(rand.NewPCG(spec.Seed, 3))}
+	f.begin()
+	f.ledger = judge.New(spec.Retries, f.sinceStart)
 	base, err := freePorts()
 	if err != nil {
 		return nil, err
@@ -143,11 +161,15 @@
 quota_window_s = %v
 quota_overshoot = %v
 quota_slack = %v
+retry_budget_ratio = %v
+retry_window_s = %v
+retry_budget_slack = %v
 [cloud_api]
 address = %q
 rate_per_s = %v
 `, n.name, n.ip, n.zone, f.ports.internal, f.ports.internal+10, strings.Join(seeds, ", "), bootstrap, quorum, data,
-		n.front, n.ready, n.control, drainMs, configApplyMs, revokeMs, quotaWindowS, quotaOvershoot, quotaSlack, f.platform.addr, cloudPerS)
+		n.front, n.ready, n.control, judge.DrainMs, judge.ConfigApplyMs, judge.RevokeMs, judge.QuotaWindowS, judge.QuotaOvershoot, judge.QuotaSlack,
+		f.spec.Retries.Ratio, f.spec.Retries.WindowS, f.spec.Retries.Slack, f.platform.addr, cloudPerS)
 	if err := os.WriteFile(filepath.Join(n.dir, "node.toml"), []byte(text), 0o644); err != nil {
 		return fmt.Errorf("emulator: %w", err)
 	}
@@ -201,7 +223,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	if n.cmd != nil && n.cmd.Process != nil {
-		n.meant = n.meant || sig != syscall.SIGHUP
+		n.meant = n.meant || sig == syscall.SIGKILL || sig == syscall.SIGTERM
 		n.cmd.Process.Signal(sig)
 	}
 }
@@ -224,7 +246,7 @@
 }
 
 // Run plays the day and returns its report.
-func (f *Fleet) Run(ctx context.Context) (*Report, error) {
+func (f *Fleet) Run(ctx context.Context) (*judge.Report, error) {
 	for _, n := range f.nodes {
 		if err := f.settings(n, true); err != nil {
 			return nil, err
@@ -268,9 +290,7 @@
 			return nil, err
 		}
 	}
-	f.ledger.mu.Lock()
-	f.ledger.start = time.Now()
-	f.ledger.mu.Unlock()
+	f.begin()
 	fmt.Fprintf(f.log, "all ready; traffic for %.0f s\n", f.spec.LengthS)
 	end := time.Now().Add(time.Duration(f.spec.LengthS * float64(time.Second)))
 	for _, t := range f.spec.Troubles {
@@ -279,12 +299,11 @@
 	tasks.Go(func() {
 		for life.Err() == nil && time.Now().Before(end) {
 			time.Sleep(5 * time.Second)
-			f.progress()
+			fmt.Fprintln(f.log, f.load.tally.Progress(f.ledger))
 		}
 	})
 	f.load.run(end)
 	f.operator.readBack(ctx)
-	f.ledger.judge()
 	return f.report(), ctx.Err()
 }
 
@@ -320,13 +339,25 @@
 	return nil
 }
 
-func (f *Fleet) tenant(name string) *Tenant {
-	for i := range f.spec.Tenants {
-		if f.spec.Tenants[i].Name == name {
-			return &f.spec.Tenants[i]
-		}
-	}
-	return nil
+// begin has traffic start now.
+func (f *Fleet) begin() { f.start.Store(int64(time.Since(epoch))) }
+
+// since is a time as one since the start of traffic.
+func (f *Fleet) since(t time.Time) time.Duration { return t.Sub(epoch) - time.Duration(f.start.Load()) }
+
+func (f *Fleet) sinceStart() time.Duration { return f.since(time.Now()) }
+
+func (f *Fleet) report() *judge.Report {
+	r := f.load.tally.Report(f.ledger)
+	f.platform.mu.Lock()
+	r.Notes = append(r.Notes, fmt.Sprintf("%d calls to the platform; %d lives of servers", f.platform.calls, f.lives))
+	f.platform.mu.Unlock()
+	f.operator.mu.Lock()
+	r.Notes = append(r.Notes, fmt.Sprintf("%d configurations acknowledged, %d missed", len(f.operator.acks), f.operator.missed))
+	r.Missed = f.operator.missed
+	f.operator.mu.Unlock()
+	r.Exits = int(f.exits.Load())
+	return r
 }
 
 func (f *Fleet) startServers() error {
@@ -340,8 +371,8 @@
 	return nil
 }
 
-func (f *Fleet) startServer(v *Service, zone, addr string) (*server, error) {
-	classes := map[string]*Class{}
+func (f *Fleet) startServer(v *scenario.Service, zone, addr string) (*server, error) {
+	classes := map[string]*scenario.Class{}
 	for i := range f.spec.Classes {
 		if c := &f.spec.Classes[i]; c.Service == v.Name {
 			classes["/"+c.Name+"/"] = c
--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -7,6 +7,8 @@
 	"path/filepath"
 	"testing"
 	"time"
+
+	"example.org/silverscale/scenario"
 )
 
 // A small fleet of real processes serves a day with a lost process, a changed
@@ -17,12 +19,12 @@
 	if out, err := exec.Command("go", "build", "-o", bin, "../cmd/elmspan").CombinedOutput(); err != nil {
 		t.Fatalf("%v\n%s", err, out)
 	}
-	s, err := ReadSpec("../docs/fleet.toml")
+	s, err := scenario.Read("../docs/fleet.toml")
 	if err != nil {
 		t.Fatal(err)
 	}
 	s.LengthS = 6
-	s.Troubles = []Trouble{{Kind: "config", At: 0.5}, {Kind: "release", At: 1, Count: 1}, {Kind: "kill", At: 1.5, For: 1},
+	s.Troubles = []scenario.Trouble{{Kind: "config", At: 0.5}, {Kind: "release", At: 1, Count: 1}, {Kind: "kill", At: 1.5, For: 1},
 		{Kind: "lost_answers", At: 2, For: 2, Count: 4, X: 0.1}, {Kind: "bad_config", At: 3}}
 	f, err := NewFleet(s, []string{bin, "gateway"}, filepath.Join(dir, "fleet"), os.Stderr)
 	if err != nil {
--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -13,6 +13,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"example.org/silverscale/api"
+	"example.org/silverscale/judge"
 )
 
 const (
@@ -62,11 +63,9 @@
 			TimeoutMs: k.DeadlineMs * o.timeout, TargetMs: k.AimMs, Upstream: k.Service, Retries: 2})
 	}
 	for _, t := range s.Tenants {
-		rate := t.Quota * s.perS() * t.Share / s.shares()
+		rate := s.Rate(&t)
 		c.Tenants = append(c.Tenants, api.Tenant{Name: t.Name, Keys: o.keys[t.Name], Rate: rate, Burst: rate})
-		o.f.ledger.mu.Lock()
-		o.f.ledger.quotas[t.Name] = quotaOf{rate, rate}
-		o.f.ledger.mu.Unlock()
+		o.f.ledger.Quota(t.Name, rate, rate)
 	}
 	return c
 }
@@ -121,9 +120,7 @@
 			continue
 		}
 		if status, _ := o.call(1, http.MethodPost, "/v1/Config.Replace", o.base, body); status == http.StatusOK {
-			o.f.ledger.mu.Lock()
-			o.f.ledger.breaks("CONFIG", "a configuration with %s was acknowledged", name)
-			o.f.ledger.mu.Unlock()
+			o.f.ledger.Breaks("CONFIG", "a configuration with %s was acknowledged", name)
 		}
 	}
 }
@@ -137,14 +134,12 @@
 	if !o.bring(ctx) {
 		return
 	}
-	time.Sleep(configApplyMs * time.Millisecond) // clients change over
+	time.Sleep(judge.ConfigApplyMs * time.Millisecond) // clients change over
 	o.mu.Lock()
 	o.keys[name] = o.keys[name][len(o.keys[name])-1:]
 	o.mu.Unlock()
 	if o.bring(ctx) {
-		o.f.ledger.mu.Lock()
-		o.f.ledger.revoked[old] = o.f.ledger.now()
-		o.f.ledger.mu.Unlock()
+		o.f.ledger.Revoked(old)
 	}
 }
 
@@ -158,17 +153,13 @@
 		}
 		if status, body := o.call(i, http.MethodGet, "/v1/Config.Get", 0, nil); status == http.StatusOK {
 			if !bytes.Equal(body, o.body) {
-				o.f.ledger.mu.Lock()
-				o.f.ledger.breaks("CONFIG", "what is read back is not what was acknowledged as %d", o.base)
-				o.f.ledger.mu.Unlock()
+				o.f.ledger.Breaks("CONFIG", "what is read back is not what was acknowledged as %d", o.base)
 			}
 			return
 		}
 		time.Sleep(100 * time.Millisecond)
 	}
-	o.f.ledger.mu.Lock()
-	o.f.ledger.breaks("CONFIG", "the configuration can't be read back")
-	o.f.ledger.mu.Unlock()
+	o.f.ledger.Breaks("CONFIG", "the configuration can't be read back")
 }
 
 func (o *operator) call(i int, method, path string, base uint64, body []byte) (int, []byte) {
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -11,6 +11,7 @@
 	"github.com/fxamacker/cbor/v2"
 
 	"example.org/silverscale/api"
+	"example.org/silverscale/judge"
 )
 
 const (
@@ -22,7 +23,7 @@
 // platform keeps the list of servers and knows which limiters get connections.
 type platform struct {
 	addr   string
-	ledger *ledger
+	ledger *judge.Ledger
 
 	mu      sync.Mutex
 	servers []*server
@@ -33,7 +34,7 @@
 	misses  map[string]int // of limiters, by ready address
 }
 
-func startPlatform(addr string, l *ledger) (*platform, error) {
+func startPlatform(addr string, l *judge.Ledger) (*platform, error) {
 	p := &platform{ledger: l, tokens: cloudPerS, at: time.Now(), misses: map[string]int{}}
 	ln, err := net.Listen("tcp", addr)
 	if err != nil {
@@ -92,9 +93,7 @@
 	s.mu.Lock()
 	s.draining = true
 	s.mu.Unlock()
-	p.ledger.mu.Lock()
-	p.ledger.draining[s.id] = p.ledger.now()
-	p.ledger.mu.Unlock()
+	p.ledger.Drains(s.id)
 }
 
 func (p *platform) gone(s *server) {
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -14,6 +14,8 @@
 	"time"
 
 	"example.org/silverscale/dataplane/h1"
+	"example.org/silverscale/judge"
+	"example.org/silverscale/scenario"
 )
 
 const (
@@ -25,9 +27,9 @@
 // a few more, and turns away what it does not run with Not-Executed.
 type server struct {
 	id, service, addr, zone string
-	spec                    *Service
-	classes                 map[string]*Class // by path prefix
-	ledger                  *ledger
+	spec                    *scenario.Service
+	classes                 map[string]*scenario.Class // by path prefix
+	ledger                  *judge.Ledger
 	slots                   chan struct{}
 	born                    time.Time
 
@@ -42,7 +44,7 @@
 	conns    map[net.Conn]bool
 }
 
-func startServer(id, addr, zone string, spec *Service, classes map[string]*Class, l *ledger, seed uint64) (*server, error) {
+func startServer(id, addr, zone string, spec *scenario.Service, classes map[string]*scenario.Class, l *judge.Ledger, seed uint64) (*server, error) {
 	s := &server{id: id, service: spec.Name, addr: addr, zone: zone, spec: spec, classes: classes, ledger: l,
 		slots: make(chan struct{}, spec.Slots), born: time.Now(), rng: rand.New(rand.NewPCG(seed, 5)), slow: 1, conns: map[net.Conn]bool{}}
 	var err error
@@ -109,7 +111,7 @@
 	if m := h.Get("Target-Member"); m != "" && m != s.id {
 		return refuse(421, "another member")
 	}
-	var class *Class
+	var class *scenario.Class
 	for prefix, k := range s.classes {
 		if strings.HasPrefix(h.Target, prefix) {
 			class = k
@@ -122,6 +124,7 @@
 	if err != nil {
 		return refuse(400, "no budget")
 	}
+	s.ledger.Arrived(id, s.service)
 	until := time.NewTimer(time.Duration(budget * float64(time.Millisecond)))
 	defer until.Stop()
 	s.mu.Lock()
@@ -148,7 +151,7 @@
 		return refuse(503, "late")
 	}
 	defer func() { <-s.slots }()
-	s.ledger.run(id, run{service: s.service, member: s.id, tenant: h.Get("Tenant-Name"), body: crc32.ChecksumIEEE(body)}, h.Get("Authorization") != "")
+	s.ledger.Ran(id, judge.Run{Service: s.service, Member: s.id, Tenant: h.Get("Tenant-Name"), Body: crc32.ChecksumIEEE(body)}, h.Get("Authorization") != "")
 	s.mu.Lock()
 	work := class.WorkMs * s.slow * math.Exp(0.5*s.rng.NormFloat64()-0.125)
 	if cold := s.spec.ColdS - time.Since(s.born).Seconds(); cold > 0 {
@@ -170,7 +173,7 @@
 		closes = "Connection: close\r\n"
 	}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nKeep-Alive: timeout=8\r\n%sContent-Length: %d\r\n\r\n", id, sealOf(s.id, id, out), closes, len(out))
+	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nKeep-Alive: timeout=8\r\n%sContent-Length: %d\r\n\r\n", id, judge.SealOf(s.id, id, out), closes, len(out))
 	b.Write(out)
 	_, err = c.Write(b.Bytes())
 	return err == nil && !draining
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -7,14 +7,16 @@
 	"time"
 
 	"example.org/silverscale/internal/backoff"
+	"example.org/silverscale/judge"
+	"example.org/silverscale/scenario"
 )
 
 // strike has a trouble happen at its time.
-func (f *Fleet) strike(ctx context.Context, t Trouble) {
+func (f *Fleet) strike(ctx context.Context, t scenario.Trouble) {
 	if !backoff.Sleep(ctx, time.Duration(t.At*float64(time.Second))) {
 		return
 	}
-	fmt.Fprintf(f.log, "%5.1f s  %s\n", f.ledger.now().Seconds(), t.Kind)
+	fmt.Fprintf(f.log, "%5.1f s  %s\n", f.sinceStart().Seconds(), t.Kind)
 	count := max(1, t.Count)
 	lasting := time.Duration(max(t.For, 0.5) * float64(time.Second))
 	switch t.Kind {
@@ -44,6 +46,11 @@
 		for _, n := range f.some(count) {
 			n.signal(syscall.SIGHUP)
 		}
+	case "freeze":
+		for _, n := range f.some(count) {
+			n.signal(syscall.SIGSTOP)
+			time.AfterFunc(lasting, func() { n.signal(syscall.SIGCONT) })
+		}
 	case "crash":
 		for _, s := range f.platform.pick(f.rng, count) {
 			s.stop()
@@ -98,7 +105,7 @@
 		fmt.Fprintln(f.log, err)
 	}
 	f.platform.drain(s)
-	if !backoff.Sleep(ctx, (drainMs+500)*time.Millisecond) {
+	if !backoff.Sleep(ctx, (judge.DrainMs+500)*time.Millisecond) {
 		return
 	}
 	f.platform.gone(s)
