--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -16,7 +16,17 @@
 	"example.org/silverscale/api"
 )
 
+// Reach is how many limiters of its zone, on each side of it by their ids, a
+// limiter of a large fleet shares servers with. Whoever uses one of those servers is 2 x Reach places away at most: with
+// the words of so many a limiter knows all that is out there. To choose among
+// all servers by the little that one limiter of hundreds sees of each is worse
+// than to choose at random (see docs/decisions/0003).
+const Reach = 3
+
 const (
+	closeLeast = 4 // fewer servers are not kept apart
+	sampleSize = 3 // drawn at random where those near won't do
+
 	hintMs     = 1500.0 // a limiter's word on its load counts so long
 	slowWeight = 0.3    // of one answer in a server's slowness
 	fadeMs     = 4000.0 // slowness fades towards the typical over this time
@@ -55,7 +65,7 @@
 	offTo   float64 // ejected
 	fullTo  float64
 	warmAt  float64
-	rank    uint8 // 0: this limiter prefers it
+	rank    uint8 // 0: this limiter prefers it, 1: others of the zone do, 2: far away in a large one
 	gone    bool
 }
 
@@ -66,6 +76,8 @@
 
 type service struct {
 	members []*Member
+	close   []*Member // in a large zone: those of the limiters next to this one
+	sampled bool      // in a large zone
 	work    float64
 	n       float64
 }
@@ -75,11 +87,13 @@
 	zone     string
 	self     uint64
 	peers    []uint64 // limiters in this zone, self included
+	many     bool     // other zones' limiters say nothing of their loads
 	rng      *rand.Rand
 	byID     map[string]*Member
 	byHash   map[uint32]*Member
 	services map[string]*service
 	dirty    map[uint32]uint8
+	drawn    []*Member
 }
 
 // New returns a set for a limiter, by the hash of its name, in a zone.
@@ -131,27 +145,50 @@
 	s.prefer()
 }
 
-// Peers says which limiters there are in this zone, by the hashes of their names.
-func (s *Set) Peers(ids []uint64) {
-	s.peers = append([]uint64{s.self}, ids...)
+// Peers says which other limiters there are in this zone, by the hashes of
+// their names, and whether there are so many in all that those of other zones
+// say nothing of what they have out.
+func (s *Set) Peers(ids []uint64, many bool) {
+	s.peers, s.many = append([]uint64{s.self}, ids...), many
 	slices.Sort(s.peers)
 	s.prefer()
 }
 
 // prefer deals each service's servers of the zone out among the limiters of it.
 func (s *Set) prefer() {
-	at := max(0, slices.Index(s.peers, s.self))
+	at, p := max(0, slices.Index(s.peers, s.self)), max(1, len(s.peers))
 	for _, v := range s.services {
+		v.sampled, v.close = s.many, v.close[:0]
+		n := 0
+		for _, m := range v.members {
+			if m.Zone == s.zone && m.State != api.Draining {
+				n++
+			}
+		}
 		k := 0
 		for _, m := range v.members {
 			m.rank = 1
-			if m.Zone == s.zone && m.State != api.Draining {
-				if len(s.peers) == 0 || k%len(s.peers) == at {
+			switch usable := m.Zone == s.zone && m.State != api.Draining; {
+			case !usable && v.sampled:
+				m.rank = 2
+			case !usable:
+			case v.sampled:
+				d := (k*p/n - at + p) % p // places from this limiter to the server's
+				if m.rank = 2; min(d, p-d) <= Reach || p <= 4*Reach+1 {
+					m.rank = uint8(min(1, d))
+					v.close = append(v.close, m)
+				}
+				k++
+			default:
+				if k%p == at {
 					m.rank = 0
 				}
 				k++
 			}
 		}
+		if len(v.close) < closeLeast { // too few to choose among
+			v.close = v.close[:0]
+		}
 	}
 }
 
@@ -195,8 +232,8 @@
 	}
 	work := max(1, v.work)
 	var bestCost, bestTime float64
-	for pass := 0; pass < 2 && best == nil; pass++ {
-		for _, m := range v.members {
+	consider := func(members []*Member, pass int) {
+		for _, m := range members {
 			if m.State == api.Draining || slices.Contains(r.Tried, m) || pass == 0 && (now < m.offTo || now < m.fullTo) ||
 				pass == 1 && now < m.fullTo {
 				continue
@@ -220,6 +257,15 @@
 			}
 		}
 	}
+	if v.sampled {
+		consider(v.close, 0)
+		if best == nil || work*bestTime > r.LeftMs {
+			consider(s.sample(v), 0)
+		}
+	}
+	for pass := 0; pass < 2 && best == nil; pass++ {
+		consider(v.members, pass)
+	}
 	switch {
 	case best == nil:
 		return nil, fullMs
@@ -229,6 +275,15 @@
 	return best, 0
 }
 
+// sample draws a few servers at random.
+func (s *Set) sample(v *service) []*Member {
+	s.drawn = s.drawn[:0]
+	for range sampleSize {
+		s.drawn = append(s.drawn, v.members[s.rng.IntN(len(v.members))])
+	}
+	return s.drawn
+}
+
 // Sent notes that a request goes to a server.
 func (s *Set) Sent(m *Member) {
 	m.out++
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -71,7 +71,7 @@
 		}
 	}
 	l.quota.Members(now, ids)
-	l.balance.Peers(zone)
+	l.balance.Peers(zone, len(peers) >= words.MostHinted)
 	l.teller.Peers(peers, l.quota.Bits())
 }
 
--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -10,12 +10,15 @@
 
 // How often words go out, in milliseconds. The host calls [Teller.Tick] every TickMs.
 const (
-	TickMs      = 6.0   // between two words to limiters of the zone ...
-	otherMs     = 30.0  // ... to others about servers of theirs ...
-	farMs       = 150.0 // ... and about those that are of neither
-	aliveMs     = 150.0 // a third of quota.FreshMs: two words in a row may be lost
-	mostHinted  = 24    // of more limiters than this, those of other zones get no hints ...
-	hintedAlong = 6     // ... and in the zone so many on each side of this one, by their ids
+	TickMs  = 6.0   // between two words to limiters of the zone ...
+	otherMs = 30.0  // ... to others about servers of theirs ...
+	farMs   = 150.0 // ... and about those that are of neither
+	aliveMs = 150.0 // a third of quota.FreshMs: two words in a row may be lost
+
+	// MostHinted is how many other limiters get hints wherever they are. Where there
+	// are as many or more, those of other zones get none ...
+	MostHinted  = 24
+	hintedAlong = 2 * balance.Reach // ... and in the zone so many on each side of this one, by their ids
 )
 
 // Peer is another limiter.
@@ -70,7 +73,7 @@
 	for _, p := range peers {
 		near := p.Zone == t.zone
 		x := target{Peer: p, near: near, member: quota.GroupOf(p.ID, bits) == own, across: across[p.ID],
-			hinted: len(peers) < mostHinted || near && along[p.ID]}
+			hinted: len(peers) < MostHinted || near && along[p.ID]}
 		if !x.member && !x.across && !x.hinted {
 			continue
 		}
--- /dev/null
+++ b/simulation/client.go
@@ -0,0 +1,159 @@
+package simulation
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"example.org/silverscale/judge"
+	"example.org/silverscale/scenario"
+)
+
+// request is one request of a client, with its further tries.
+type request struct {
+	f        *fleet
+	class    *scenario.Class
+	tenant   *scenario.Tenant
+	zone     string
+	client   int
+	n        int
+	tries    int
+	begun    float64
+	deadline float64
+	status   int
+}
+
+// begin has the clients ask and the troubles strike.
+func (f *fleet) begin() {
+	for i := range f.day.Classes {
+		c := &f.day.Classes[i]
+		var next func()
+		next = func() {
+			t, x := f.pickTenant(), 1.0
+			if f.hot != "" {
+				share := f.day.Tenant(f.hot).Share / f.day.Shares()
+				x = 1 + (f.hotX-1)*share
+				if f.rng.Float64() < (f.hotX-1)*share/x {
+					t = f.day.Tenant(f.hot)
+				}
+			}
+			f.engine.after(1000*f.rng.ExpFloat64()/(c.PerS*x), func() {
+				if f.engine.now >= f.day.LengthS*1000 {
+					return
+				}
+				f.asked++
+				f.open++
+				r := &request{f: f, class: c, tenant: t, zone: f.day.Zones[f.rng.IntN(len(f.day.Zones))], client: f.rng.IntN(clients * f.day.PerZone),
+					n: f.asked, begun: f.engine.now, deadline: f.engine.now + c.DeadlineMs}
+				r.try()
+				next()
+			})
+		}
+		next()
+	}
+	for _, t := range f.day.Troubles {
+		if !t.Simulated() {
+			f.skipped = append(f.skipped, t.Kind)
+			continue
+		}
+		f.engine.after(t.At*1000, func() { f.strike(t) })
+	}
+}
+
+func (f *fleet) pickTenant() *scenario.Tenant {
+	x := f.rng.Float64() * f.day.Shares()
+	for i := range f.day.Tenants {
+		if x -= f.day.Tenants[i].Share; x < 0 {
+			return &f.day.Tenants[i]
+		}
+	}
+	return &f.day.Tenants[0]
+}
+
+// entry is the limiter that a client gets, by hash over those that the platform
+// holds for ready.
+func (f *fleet) entry(zone string, client int) *node {
+	for k := range f.day.Zones {
+		var in []*node
+		at := 0
+		for i, z := range f.day.Zones {
+			if z == zone {
+				at = i
+			}
+		}
+		z := f.day.Zones[(at+k)%len(f.day.Zones)]
+		for _, n := range f.nodes {
+			if n.zone == z && (n.up && f.engine.now-n.born > keepDeadMs || !n.up && f.engine.now-n.downAt < noticeMs) {
+				in = append(in, n)
+			}
+		}
+		if len(in) > 0 {
+			return in[uint32(client)*2654435761>>8%uint32(len(in))]
+		}
+	}
+	return nil
+}
+
+// try sends the request once more.
+func (r *request) try() {
+	f := r.f
+	if r.tries >= mostTries || f.engine.now >= r.deadline {
+		r.end()
+		return
+	}
+	n := f.entry(r.zone, r.client+r.tries)
+	if n == nil {
+		f.engine.after(20, r.try)
+		return
+	}
+	id := fmt.Sprintf("%08x%04x", r.n, r.tries)
+	r.tries++
+	over := false
+	answer := func(status int, waitMs float64, read bool) {
+		if over {
+			return
+		}
+		over = true
+		r.answered(status, waitMs, read)
+	}
+	f.engine.after(f.delay(r.zone, n.zone), func() {
+		if !n.up {
+			f.engine.after(f.delay(r.zone, n.zone), func() { answer(0, 0, false) })
+			return
+		}
+		f.ledger.Sent(id, &judge.Try{Class: r.class, Tenant: r.tenant.Name})
+		x := &flight{id: id, tenant: r.tenant.Name, class: r.class, from: r.zone, until: r.deadline, reply: answer}
+		n.whenAwake(func() {
+			if f.engine.now < r.deadline {
+				n.handle(x, xxhash.Sum64String(r.tenant.Name))
+			}
+		})
+	})
+	f.engine.after(r.deadline-f.engine.now+1, func() { answer(0, 0, true) }) // gives up
+}
+
+// answered goes on as a client does: what promises that it has not run, and
+// what may run twice, is sent again.
+func (r *request) answered(status int, waitMs float64, read bool) {
+	f := r.f
+	r.status = status
+	promise := status == 429 || status == 503
+	if status == 200 || !r.class.Repeatable() && !promise && read {
+		r.end()
+		return
+	}
+	pause := max(waitMs, float64(r.tries)*10)
+	if r.tries >= mostTries || f.engine.now+pause > r.deadline {
+		r.end()
+		return
+	}
+	f.engine.after(pause, r.try)
+}
+
+func (r *request) end() {
+	f := r.f
+	f.open--
+	ms := float64(time.Millisecond)
+	f.tally.Add(r.class, time.Duration(r.begun*ms), r.status, r.tries, time.Duration((f.engine.now-r.begun)*ms))
+}
--- /dev/null
+++ b/simulation/policy.go
@@ -0,0 +1,223 @@
+package simulation
+
+import (
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"slices"
+
+	"example.org/silverscale/api"
+	"example.org/silverscale/bucket"
+	"example.org/silverscale/dataplane/balance"
+	"example.org/silverscale/dataplane/limiter"
+	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/dataplane/words"
+)
+
+// policy decides for one limiter. The gateway's own is [limiter.Limiter]; the
+// others are plain ones that it is compared with.
+type policy interface {
+	Plans(now float64, plans map[uint64]quota.Plan)
+	Servers(now float64, list []api.Server)
+	Peers(now float64, peers []words.Peer)
+	Admit(now float64, tenant uint64) (waitMs float64, ok bool)
+	Tick(now float64, send func(to uint64, w *words.Word))
+	Hear(now float64, w *words.Word)
+	Targets() int
+	begin(r limiter.Request) course
+}
+
+// course is that of one request.
+type course interface {
+	launch(now float64, hedge bool) (server string, waitMs float64, refused bool)
+	ended(now float64, server string, r balance.Result, ran, answered bool, tookMs float64) limiter.Next
+	givenUp(now float64, server string, tookMs float64) // as another server answered first
+	status(now float64) int
+	hedgeMs() (float64, bool)
+}
+
+// Policies names what can be simulated: the gateway's own first.
+func Policies() []string { return append([]string{Elmspan}, slices.Sorted(maps.Keys(plain))...) }
+
+// Elmspan is the gateway's own policy.
+const Elmspan = "elmspan"
+
+// plain are the choices of the policies that the gateway's is compared with: by
+// the candidates and what this limiter has out at each.
+var plain = map[string]func(p *plainPolicy, service string, ids []string) string{
+	"round-robin": func(p *plainPolicy, service string, ids []string) string {
+		if _, begun := p.turn[service]; !begun {
+			p.turn[service] = p.rng.IntN(1 << 20) // not all limiters at the same server
+		}
+		p.turn[service]++
+		return ids[p.turn[service]%len(ids)]
+	},
+	"random": func(p *plainPolicy, _ string, ids []string) string { return ids[p.rng.IntN(len(ids))] },
+	"least-outstanding": func(p *plainPolicy, _ string, ids []string) string {
+		first := p.rng.IntN(len(ids)) // so that equal ones are taken in turn
+		best := ids[first]
+		for i := range ids {
+			if id := ids[(first+i)%len(ids)]; p.out[id] < p.out[best] {
+				best = id
+			}
+		}
+		return best
+	},
+	"two-choices": func(p *plainPolicy, _ string, ids []string) string {
+		a, b := ids[p.rng.IntN(len(ids))], ids[p.rng.IntN(len(ids))]
+		if p.out[b] < p.out[a] {
+			return b
+		}
+		return a
+	},
+}
+
+func newPolicy(name string, cfg limiter.Config) (policy, error) {
+	if name == Elmspan {
+		return &own{Limiter: limiter.New(0, cfg)}, nil
+	}
+	choose := plain[name]
+	if choose == nil {
+		return nil, fmt.Errorf("simulation: no policy %q; there are %v", name, Policies())
+	}
+	return &plainPolicy{choose: choose, rng: rand.New(rand.NewPCG(cfg.Seed, 0x91a1)), plans: map[uint64]quota.Plan{},
+		buckets: map[uint64]*plainBucket{}, servers: map[string][]string{}, out: map[string]int{}, turn: map[string]int{}}, nil
+}
+
+// own hosts the gateway's decisions.
+type own struct{ *limiter.Limiter }
+
+type ownCourse struct {
+	*limiter.Flight
+	l   *limiter.Limiter
+	out map[string]*balance.Member
+}
+
+func (o *own) begin(r limiter.Request) course {
+	o.SaveUp(r.Service)
+	return &ownCourse{Flight: o.NewFlight(r), l: o.Limiter, out: map[string]*balance.Member{}}
+}
+
+func (c *ownCourse) launch(now float64, hedge bool) (string, float64, bool) {
+	m, wait, refused := c.Launch(now, hedge)
+	if m == nil {
+		return "", wait, refused
+	}
+	c.out[m.ID] = m
+	return m.ID, 0, false
+}
+
+func (c *ownCourse) ended(now float64, server string, r balance.Result, ran, answered bool, tookMs float64) limiter.Next {
+	c.l.Done(now, c.out[server], r, tookMs)
+	return c.Ended(r, ran, answered, false)
+}
+
+func (c *ownCourse) givenUp(now float64, server string, tookMs float64) {
+	c.l.Done(now, c.out[server], balance.Beaten, tookMs)
+}
+
+func (c *ownCourse) status(now float64) int   { return c.Status(now, false) }
+func (c *ownCourse) hedgeMs() (float64, bool) { return c.HedgeMs() }
+
+// plainPolicy chooses servers plainly and has an equal, fixed share of each
+// quota. It tells nobody anything.
+type plainPolicy struct {
+	choose   func(p *plainPolicy, service string, ids []string) string
+	rng      *rand.Rand
+	limiters int
+	plans    map[uint64]quota.Plan
+	buckets  map[uint64]*plainBucket
+	servers  map[string][]string
+	out      map[string]int
+	turn     map[string]int
+}
+
+type plainBucket struct{ balance, at float64 }
+
+func (p *plainPolicy) Plans(_ float64, plans map[uint64]quota.Plan) { p.plans = plans }
+func (p *plainPolicy) Tick(float64, func(uint64, *words.Word))      {}
+func (p *plainPolicy) Hear(float64, *words.Word)                    {}
+func (p *plainPolicy) Targets() int                                 { return 0 }
+
+// Peers fixes the share at the first fleet that is known.
+func (p *plainPolicy) Peers(_ float64, peers []words.Peer) {
+	if p.limiters == 0 {
+		p.limiters = len(peers) + 1
+	}
+}
+
+func (p *plainPolicy) Servers(_ float64, list []api.Server) {
+	clear(p.servers)
+	for _, s := range list {
+		if s.State != api.Draining {
+			p.servers[s.Upstream] = append(p.servers[s.Upstream], s.ID)
+		}
+	}
+}
+
+func (p *plainPolicy) Admit(now float64, tenant uint64) (float64, bool) {
+	plan := p.plans[tenant]
+	if plan.Rate <= 0 {
+		return 0, true
+	}
+	n := float64(max(1, p.limiters))
+	b := p.buckets[tenant]
+	if b == nil {
+		b = &plainBucket{max(1, plan.Burst/n), now}
+		p.buckets[tenant] = b
+	}
+	b.balance = bucket.Refill(b.balance, (now-b.at)/1000, plan.Rate/n, max(1, plan.Burst/n))
+	if b.at = now; b.balance < 1 {
+		return 1000 * bucket.Wait(b.balance, 1, plan.Rate/n), false
+	}
+	b.balance--
+	return 0, true
+}
+
+type plainCourse struct {
+	p     *plainPolicy
+	r     limiter.Request
+	tried []string
+	ran   bool
+}
+
+func (p *plainPolicy) begin(r limiter.Request) course { return &plainCourse{p: p, r: r} }
+
+func (c *plainCourse) launch(now float64, hedge bool) (string, float64, bool) {
+	if hedge || now >= c.r.DeadlineMs || len(c.tried) >= max(1, c.r.Tries) {
+		return "", 0, false
+	}
+	ids := slices.DeleteFunc(slices.Clone(c.p.servers[c.r.Service]), func(id string) bool { return slices.Contains(c.tried, id) })
+	if len(ids) == 0 {
+		return "", 100, len(c.tried) == 0
+	}
+	id := c.p.choose(c.p, c.r.Service, ids)
+	c.tried = append(c.tried, id)
+	c.p.out[id]++
+	return id, 0, false
+}
+
+func (c *plainCourse) ended(_ float64, server string, r balance.Result, ran, answered bool, _ float64) limiter.Next {
+	c.p.out[server]--
+	c.ran = c.ran || ran
+	switch {
+	case answered:
+		return limiter.Deliver
+	case c.ran && !c.r.Repeatable:
+		return limiter.Stop
+	}
+	return limiter.Relaunch
+}
+
+func (c *plainCourse) givenUp(_ float64, server string, _ float64) { c.p.out[server]-- }
+func (c *plainCourse) hedgeMs() (float64, bool)                    { return 0, false }
+
+func (c *plainCourse) status(now float64) int {
+	switch {
+	case !c.ran:
+		return 503
+	case now >= c.r.DeadlineMs:
+		return 504
+	}
+	return 502
+}
