--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -231,7 +231,7 @@
 		return nil, 1000
 	}
 	work := max(1, v.work)
-	var bestCost, bestTime float64
+	var bestCost, bestTime, bestLoad, around float64
 	consider := func(members []*Member, pass int) {
 		for _, m := range members {
 			if m.State == api.Draining || slices.Contains(r.Tried, m) || pass == 0 && (now < m.offTo || now < m.fullTo) ||
@@ -239,6 +239,9 @@
 				continue
 			}
 			c, load := float64(m.Capacity), m.Load(now)
+			if m.rank == 2 { // nothing is told of it: it has as much to do as those near
+				load = max(load, around*c)
+			}
 			queued := max(0, load+1-c) / c
 			if r.Idle && load >= c {
 				continue
@@ -253,11 +256,14 @@
 			}
 			cost += otherCost*float64(m.rank) + 0.01*s.rng.Float64()
 			if best == nil || cost < bestCost {
-				best, bestCost, bestTime = m, cost, time
+				best, bestCost, bestTime, bestLoad = m, cost, time, load
 			}
 		}
 	}
 	if v.sampled {
+		for _, m := range v.close {
+			around += m.Load(now) / float64(m.Capacity) / float64(len(v.close))
+		}
 		consider(v.close, 0)
 		if best == nil || work*bestTime > r.LeftMs {
 			consider(s.sample(v), 0)
@@ -269,7 +275,7 @@
 	switch {
 	case best == nil:
 		return nil, fullMs
-	case v.n > 0 && work*bestTime > r.LeftMs && best.Load(now) >= float64(best.Capacity):
+	case v.n > 0 && work*bestTime > r.LeftMs && bestLoad >= float64(best.Capacity):
 		return nil, max(fullMs, work*bestTime-r.LeftMs)
 	}
 	return best, 0
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -17,7 +17,7 @@
 
 	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/limiter"
-	"example.org/silverscale/dataplane/words"
+	"example.org/silverscale/dataplane/quota"
 	"example.org/silverscale/internal/connpool"
 	"example.org/silverscale/keys"
 	"example.org/silverscale/membership"
@@ -273,7 +273,7 @@
 func (g *Gateway) SetPeers(all []api.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var peers []words.Peer
+	var peers []quota.Member
 	clear(g.addrs)
 	for _, p := range all {
 		if p.Name == g.cfg.Name || !p.Edge || p.State == membership.Dead {
@@ -285,7 +285,7 @@
 		}
 		id := xxhash.Sum64String(p.Name)
 		g.addrs[id] = addr
-		peers = append(peers, words.Peer{ID: id, Zone: p.Zone})
+		peers = append(peers, quota.Member{ID: id, Zone: p.Zone})
 	}
 	g.limiter.Peers(inMs(g.now()), peers)
 	if len(all) > 1 {
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -49,8 +49,9 @@
 
 // New returns a limiter that starts now.
 func New(now float64, cfg Config) *Limiter {
-	return &Limiter{cfg: cfg, quota: quota.New(now, cfg.Self), balance: balance.New(cfg.Zone, cfg.Self, cfg.Seed),
-		teller: words.NewTeller(cfg.Self, cfg.Life, cfg.Zone), retries: map[string]float64{}, peers: map[uint64]bool{}}
+	self := quota.Member{ID: cfg.Self, Zone: cfg.Zone}
+	return &Limiter{cfg: cfg, quota: quota.New(now, self), balance: balance.New(cfg.Zone, cfg.Self, cfg.Seed),
+		teller: words.NewTeller(self, cfg.Life), retries: map[string]float64{}, peers: map[uint64]bool{}}
 }
 
 // Plans takes over the tenants' quotas of a configuration, by the hashes of their names.
@@ -60,19 +61,18 @@
 func (l *Limiter) Servers(now float64, list []api.Server) { l.balance.Update(now, list) }
 
 // Peers takes over which other limiters there are.
-func (l *Limiter) Peers(now float64, peers []words.Peer) {
-	var ids, zone []uint64
+func (l *Limiter) Peers(now float64, peers []quota.Member) {
+	var zone []uint64
 	clear(l.peers)
 	for _, p := range peers {
 		l.peers[p.ID] = true
-		ids = append(ids, p.ID)
 		if p.Zone == l.cfg.Zone {
 			zone = append(zone, p.ID)
 		}
 	}
-	l.quota.Members(now, ids)
+	l.quota.Members(now, peers)
 	l.balance.Peers(zone, len(peers) >= words.MostHinted)
-	l.teller.Peers(peers, l.quota.Bits())
+	l.teller.Peers(peers, l.quota.Level())
 }
 
 // Admit takes one unit of a tenant's quota, or tells when to come back.
@@ -138,7 +138,7 @@
 	if !l.peers[w.From] {
 		return
 	}
-	if w.Group.Bits > 0 {
+	if w.Group.Level > 0 {
 		l.quota.HeardGroup(now, w.From, w.Life, w.AgeMs, w.Group)
 	} else {
 		l.quota.Heard(now, w.From, w.Life, w.AgeMs, w.Spent)
--- a/dataplane/limiter/limiter_test.go
+++ b/dataplane/limiter/limiter_test.go
@@ -42,10 +42,10 @@
 // know tells all limiters who lives.
 func (f *fleet) know(now float64) {
 	for id, l := range f.at {
-		var others []words.Peer
+		var others []quota.Member
 		for _, o := range f.ids {
 			if o != id && !f.dead[o] {
-				others = append(others, words.Peer{ID: o, Zone: zone(o)})
+				others = append(others, quota.Member{ID: o, Zone: zone(o)})
 			}
 		}
 		l.Peers(now, others)
@@ -134,7 +134,9 @@
 	}
 }
 
-// A fleet that is cut in three stays in the quota once that is noticed.
+// A fleet that is cut in three, along its zones, stays in the quota once that is
+// noticed, and uses all of it. Fails where groups go across zones (half is left
+// unused then, as a limiter hears some groups from the other side only).
 func TestCutGroupsHoldTheQuota(t *testing.T) {
 	t.Parallel()
 	p := quota.Plan{Rate: 200, Burst: 100}
@@ -146,7 +148,7 @@
 	if n := most(at, 5000); n > bound(p) {
 		t.Errorf("%d in 5 s, %d at most", n, bound(p))
 	}
-	if n := len(at); n < 800 {
-		t.Errorf("%d of some 2800 in 14 s: next to nothing is let through", n)
+	if n := len(at); n < 2500 {
+		t.Errorf("%d of some 2800 in 14 s: the parts of some are left unused", n)
 	}
 }
--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -3,8 +3,10 @@
 import "math/bits"
 
 // In a small fleet each limiter tells all others of its units. In a large one
-// that would be as many words for each as there are limiters. There, the first
-// bits of their ids put limiters into groups. Those of one group tell each other
+// that would be as many words for each as there are limiters. There, their zone
+// and the first bits of their ids put limiters into groups: within zones, so that
+// where zones are cut off from each other a limiter hears of all on its side, as
+// all of them do. Those of one group tell each other
 // as in a small fleet. What a group has let through, as a sum, and how many of
 // it hear each other, a limiter of each other group is told by two of the group:
 // it goes by one of them, and by the other one from where the first falls silent.
@@ -14,21 +16,37 @@
 // Together is the size of a fleet up to which all tell all.
 const Together = 24
 
-// GroupBits is how many bits of an id name its group, in a fleet of n limiters:
-// about as many groups as make the words of each the fewest.
-func GroupBits(n int) uint {
+// Level is how limiters form groups: 0 not at all, else by their zones and by
+// one bit of their ids less than the level.
+type Level uint
+
+// LevelOf is the level of a fleet of n limiters in some zones: about as many
+// groups as make the words of each the fewest.
+func LevelOf(n, zones int) Level {
 	if n <= Together {
 		return 0
 	}
-	return uint(bits.Len(uint(n/2)) / 2)
+	return Level(1 + max(0, bits.Len(uint(n/2))/2-bits.Len(uint(zones-1))))
 }
 
-// GroupOf is the group of a limiter, by the hash of its name.
-func GroupOf(id uint64, bits uint) uint64 {
-	if bits == 0 {
-		return 0
+// Member is another limiter.
+type Member struct {
+	ID   uint64 // hash of its name
+	Zone string
+}
+
+// Group names a group.
+type Group struct {
+	zone string
+	bits uint64
+}
+
+// Group is the group of a limiter.
+func (l Level) Group(m Member) Group {
+	if l == 0 {
+		return Group{}
 	}
-	return id >> (64 - bits)
+	return Group{m.Zone, m.ID >> (65 - l)}
 }
 
 // forgetReporterMs is how long a reporter that is silent is remembered.
@@ -54,23 +72,25 @@
 
 // Digest is what a limiter tells of its group.
 type Digest struct {
-	Bits  uint    // by which it forms groups
+	Level Level   // at which it forms groups
 	Heard int     // of the group, itself among them
 	Spent []Spent // by the whole group since the teller's start
 }
 
-// Bits is how many bits of an id name its group; 0 where all are together.
-func (s *Set) Bits() uint { return s.bits }
+// Level is the level at which groups are formed.
+func (s *Set) Level() Level { return s.level }
 
 // direct tells whether a limiter speaks to this one for itself.
-func (s *Set) direct(id uint64) bool {
-	return s.bits == 0 || GroupOf(id, s.bits) == GroupOf(s.self, s.bits)
-}
+func (s *Set) direct(m Member) bool { return s.level.Group(m) == s.level.Group(s.self) }
 
 // regroup forms the groups after a change of members.
 func (s *Set) regroup(now float64) {
-	if b := GroupBits(len(s.peers) + 1); b != s.bits {
-		s.bits = b
+	zones := map[string]bool{s.self.Zone: true}
+	for _, p := range s.peers {
+		zones[p.Zone] = true
+	}
+	if l := LevelOf(len(s.peers)+1, len(zones)); l != s.level {
+		s.level = l
 		clear(s.groups) // sums of other groups than these say nothing
 		for _, p := range s.peers {
 			p.life = 0 // met anew: who did not speak for itself before has spent much since
@@ -87,14 +107,11 @@
 			delete(s.groups, id)
 		}
 	}
-	if s.bits == 0 {
-		return
-	}
-	for id := range s.peers {
-		if s.direct(id) {
+	for _, p := range s.peers {
+		if s.direct(p.Member) {
 			continue
 		}
-		k := GroupOf(id, s.bits)
+		k := s.level.Group(p.Member)
 		if s.groups[k] == nil {
 			s.groups[k] = &group{at: -2 * FreshMs, reporters: map[uint64]*reporter{}}
 		}
@@ -104,9 +121,9 @@
 
 // ReportGroup is the digest of this limiter's group: tenants with news, as in [Set.Report].
 func (s *Set) ReportGroup(now float64, out []Spent) Digest {
-	d := Digest{Bits: s.bits, Heard: 1, Spent: out}
-	for id, p := range s.peers {
-		if s.direct(id) && now-p.heardAt <= FreshMs {
+	d := Digest{Level: s.level, Heard: 1, Spent: out}
+	for _, p := range s.peers {
+		if s.direct(p.Member) && now-p.heardAt <= FreshMs {
 			d.Heard++
 		}
 	}
@@ -122,10 +139,11 @@
 // groups is not counted: for the moment until all know the same limiters, less
 // of the quotas is used, not more.
 func (s *Set) HeardGroup(now float64, from, life uint64, ageMs float64, d Digest) {
-	if s.bits == 0 || d.Bits != s.bits || s.peers[from] == nil || s.direct(from) {
+	p := s.peers[from]
+	if s.level == 0 || d.Level != s.level || p == nil || s.direct(p.Member) {
 		return
 	}
-	g := s.groups[GroupOf(from, s.bits)]
+	g := s.groups[s.level.Group(p.Member)]
 	if g == nil {
 		return
 	}
--- a/dataplane/quota/groups_test.go
+++ b/dataplane/quota/groups_test.go
@@ -7,26 +7,26 @@
 // most what was let through between the words of the two is paid for twice.
 func TestTwoReportersTellOfTheSameUnits(t *testing.T) {
 	const n = 40
-	bits := GroupBits(n)
+	level := LevelOf(n, 2)
 	step := uint64(0x9e3779b97f4a7c15)
-	self := step
+	self := Member{step, "a"}
 	s := New(0, self)
-	var ids, group []uint64 // another group's
+	var all, group []Member // another group's
 	for i := range uint64(n - 1) {
-		id := (i + 2) * step
-		ids = append(ids, id)
-		if k := GroupOf(id, bits); k != GroupOf(self, bits) && (len(group) == 0 || k == GroupOf(group[0], bits)) {
-			group = append(group, id)
+		m := Member{(i + 2) * step, []string{"a", "b"}[i%2]}
+		all = append(all, m)
+		if k := level.Group(m); k != level.Group(self) && (len(group) == 0 || k == level.Group(group[0])) {
+			group = append(group, m)
 		}
 	}
-	s.Members(0, ids)
+	s.Members(0, all)
 	s.Plans(0, map[uint64]Plan{tenantID: {Rate: 0.001, Burst: 10000}})
-	if len(group) < 2 || s.Bits() != bits || bits == 0 {
-		t.Fatalf("%d of the group, %d bits", len(group), s.Bits())
+	if len(group) < 2 || s.Level() != level || level == 0 {
+		t.Fatalf("%d of the group, level %d", len(group), s.Level())
 	}
-	a, b := group[0], group[1]
+	a, b := group[0].ID, group[1].ID
 	word := func(now float64, from uint64, units uint64) {
-		s.HeardGroup(now, from, from, now, Digest{Bits: bits, Heard: len(group), Spent: []Spent{{tenantID, units}}})
+		s.HeardGroup(now, from, from, now, Digest{Level: level, Heard: len(group), Spent: []Spent{{tenantID, units}}})
 	}
 	start, between := s.Balance(0, tenantID), 0.0
 	paid := func(now float64, want float64, what string) {
@@ -49,7 +49,7 @@
 	paid(121+FreshMs, 150, "the first is back")
 	word(130+FreshMs, b, 170)
 	paid(131+FreshMs, 170, "on with the other")
-	s.HeardGroup(140+FreshMs, a, a, 0, Digest{Bits: bits + 1, Heard: 1, Spent: []Spent{{tenantID, 9000}}})
-	s.HeardGroup(140+FreshMs, b, b, 0, Digest{Bits: bits + 1, Heard: 1, Spent: []Spent{{tenantID, 9000}}})
+	s.HeardGroup(140+FreshMs, a, a, 0, Digest{Level: level + 1, Heard: 1, Spent: []Spent{{tenantID, 9000}}})
+	s.HeardGroup(140+FreshMs, b, b, 0, Digest{Level: level + 1, Heard: 1, Spent: []Spent{{tenantID, 9000}}})
 	paid(141+FreshMs, 170, "digests of other groups")
 }
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -37,12 +37,12 @@
 
 // Set holds the buckets of one limiter. It is not safe for concurrent use.
 type Set struct {
-	self    uint64
+	self    Member
 	startMs float64
 	tenants map[uint64]*tenant
 	peers   map[uint64]*peer // other limiters, by the hash of their names
-	bits    uint             // of an id that name its group; 0: all are one
-	groups  map[uint64]*group
+	level   Level
+	groups  map[Group]*group
 	share   float64 // as part found it ...
 	shareTo float64 // ... until then
 }
@@ -58,6 +58,7 @@
 }
 
 type peer struct {
+	Member
 	life    uint64
 	metAt   float64 // the first word of this life
 	heardAt float64
@@ -66,8 +67,8 @@
 }
 
 // New returns a set of a limiter that starts now, by the hash of its name.
-func New(now float64, self uint64) *Set {
-	return &Set{self: self, startMs: now, tenants: map[uint64]*tenant{}, peers: map[uint64]*peer{}, groups: map[uint64]*group{}}
+func New(now float64, self Member) *Set {
+	return &Set{self: self, startMs: now, tenants: map[uint64]*tenant{}, peers: map[uint64]*peer{}, groups: map[Group]*group{}}
 }
 
 // Plans takes over the plans of a new configuration. A bucket that runs goes on
@@ -94,16 +95,16 @@
 }
 
 // Members says which other limiters there are.
-func (s *Set) Members(now float64, ids []uint64) {
-	is := make(map[uint64]bool, len(ids))
-	for _, id := range ids {
-		is[id] = true
-		p := s.peers[id]
+func (s *Set) Members(now float64, members []Member) {
+	is := make(map[uint64]bool, len(members))
+	for _, m := range members {
+		is[m.ID] = true
+		p := s.peers[m.ID]
 		if p == nil {
 			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1)}
-			s.peers[id] = p
+			s.peers[m.ID] = p
 		}
-		p.goneAt = 0
+		p.Member, p.goneAt = m, 0
 	}
 	for id, p := range s.peers {
 		switch {
@@ -124,9 +125,9 @@
 func (s *Set) part(now float64) float64 {
 	if now >= s.shareTo {
 		heard, all := 1.0, 1.0
-		for id, p := range s.peers {
+		for _, p := range s.peers {
 			all++
-			if s.direct(id) && now-p.heardAt <= FreshMs {
+			if s.direct(p.Member) && now-p.heardAt <= FreshMs {
 				heard++
 			}
 		}
@@ -208,7 +209,7 @@
 // the next message heals a lost one.
 func (s *Set) Heard(now float64, from, life uint64, ageMs float64, spent []Spent) {
 	p := s.peers[from]
-	if p == nil || !s.direct(from) {
+	if p == nil || !s.direct(p.Member) {
 		return
 	}
 	if p.life != life {
--- a/dataplane/quota/quota_test.go
+++ b/dataplane/quota/quota_test.go
@@ -17,11 +17,11 @@
 func newFleet(n int, p Plan) *fleet {
 	g := &fleet{cut: func(int, int) bool { return false }, rng: rand.New(rand.NewPCG(1, 2))}
 	for i := range n {
-		s := New(0, uint64(i+1))
-		var others []uint64
+		s := New(0, Member{ID: uint64(i + 1)})
+		var others []Member
 		for j := range n {
 			if j != i {
-				others = append(others, uint64(j+1))
+				others = append(others, Member{ID: uint64(j + 1)})
 			}
 		}
 		s.Members(0, others)
@@ -143,12 +143,12 @@
 		}
 	}
 	hear(100)
-	s.Members(100, []uint64{2, 3})
+	s.Members(100, []Member{{ID: 2}, {ID: 3}})
 	if got := s.part(100); got != 0.75 {
 		t.Errorf("part %v", got)
 	}
 	hear(100 + ForgetMs + 1)
-	s.Members(100+ForgetMs+1, []uint64{2, 3})
+	s.Members(100+ForgetMs+1, []Member{{ID: 2}, {ID: 3}})
 	if got := s.part(100 + ForgetMs + 1); got != 1 {
 		t.Errorf("part %v", got)
 	}
--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -21,27 +21,21 @@
 	hintedAlong = 2 * balance.Reach // ... and in the zone so many on each side of this one, by their ids
 )
 
-// Peer is another limiter.
-type Peer struct {
-	ID   uint64 // hash of its name
-	Zone string
-}
-
 // Teller says whom a limiter tells what, and when.
 type Teller struct {
-	self, life uint64
-	zone       string
-	targets    []*target // by id
-	spent      []quota.Spent
-	digest     []quota.Spent
-	hints      []balance.Hint
-	told       []quota.Spent
-	word       Word
+	self    quota.Member
+	life    uint64
+	targets []*target // by id
+	spent   []quota.Spent
+	digest  []quota.Spent
+	hints   []balance.Hint
+	told    []quota.Spent
+	word    Word
 }
 
 // target is a limiter that is told something, and what it was not told yet.
 type target struct {
-	Peer
+	quota.Member
 	near   bool // in the zone
 	member bool // of this limiter's group: is told of its own units
 	across bool // is told of its group's
@@ -54,25 +48,25 @@
 }
 
 // NewTeller returns the teller of one start of a limiter.
-func NewTeller(self, life uint64, zone string) *Teller {
-	return &Teller{self: self, life: life, zone: zone}
+func NewTeller(self quota.Member, life uint64) *Teller {
+	return &Teller{self: self, life: life}
 }
 
-// Peers says which other limiters there are, and by how many bits of their ids
-// they form groups ([quota.Set.Bits]).
-func (t *Teller) Peers(peers []Peer, bits uint) {
-	peers = slices.SortedFunc(slices.Values(peers), func(a, b Peer) int { return cmp.Compare(a.ID, b.ID) })
-	across := t.across(peers, bits)
+// Peers says which other limiters there are, and at what level they form groups
+// ([quota.Set.Level]).
+func (t *Teller) Peers(peers []quota.Member, level quota.Level) {
+	peers = slices.SortedFunc(slices.Values(peers), func(a, b quota.Member) int { return cmp.Compare(a.ID, b.ID) })
+	across := t.across(peers, level)
 	along := t.along(peers)
 	had := map[uint64]*target{}
 	for _, x := range t.targets {
 		had[x.ID] = x
 	}
 	t.targets = t.targets[:0]
-	own := quota.GroupOf(t.self, bits)
+	own := level.Group(t.self)
 	for _, p := range peers {
-		near := p.Zone == t.zone
-		x := target{Peer: p, near: near, member: quota.GroupOf(p.ID, bits) == own, across: across[p.ID],
+		near := p.Zone == t.self.Zone
+		x := target{Member: p, near: near, member: level.Group(p) == own, across: across[p.ID],
 			hinted: len(peers) < MostHinted || near && along[p.ID]}
 		if !x.member && !x.across && !x.hinted {
 			continue
@@ -90,23 +84,20 @@
 // across names the limiters of other groups that this one tells of its group.
 // Of k limiters of a group, by their ids, the i-th and the one after it tell
 // the i-th, (i+k)-th, ... of another.
-func (t *Teller) across(peers []Peer, bits uint) map[uint64]bool {
+func (t *Teller) across(peers []quota.Member, level quota.Level) map[uint64]bool {
 	out := map[uint64]bool{}
-	if bits == 0 {
-		return out
-	}
-	byGroup := map[uint64][]uint64{}
-	own := quota.GroupOf(t.self, bits)
-	mates := []uint64{t.self}
+	byGroup := map[quota.Group][]uint64{}
+	own := level.Group(t.self)
+	mates := []uint64{t.self.ID}
 	for _, p := range peers {
-		if k := quota.GroupOf(p.ID, bits); k == own {
+		if k := level.Group(p); k == own {
 			mates = append(mates, p.ID)
 		} else {
 			byGroup[k] = append(byGroup[k], p.ID)
 		}
 	}
 	slices.Sort(mates)
-	at, k := slices.Index(mates, t.self), len(mates)
+	at, k := slices.Index(mates, t.self.ID), len(mates)
 	for _, ids := range byGroup { // each in order, as peers is
 		for i, id := range ids {
 			if i%k == at || (i+1)%k == at {
@@ -118,15 +109,15 @@
 }
 
 // along names the limiters of the zone that are next to this one.
-func (t *Teller) along(peers []Peer) map[uint64]bool {
-	ring := []uint64{t.self}
+func (t *Teller) along(peers []quota.Member) map[uint64]bool {
+	ring := []uint64{t.self.ID}
 	for _, p := range peers {
-		if p.Zone == t.zone {
+		if p.Zone == t.self.Zone {
 			ring = append(ring, p.ID)
 		}
 	}
 	slices.Sort(ring)
-	at, out := slices.Index(ring, t.self), map[uint64]bool{}
+	at, out := slices.Index(ring, t.self.ID), map[uint64]bool{}
 	for d := 1; d <= hintedAlong && d < len(ring); d++ {
 		out[ring[(at+d)%len(ring)]] = true
 		out[ring[(at-d+len(ring))%len(ring)]] = true
@@ -142,7 +133,7 @@
 	t.spent = q.Report(now, t.spent[:0])
 	t.hints = b.Hints(t.hints[:0])
 	digest := quota.Digest{}
-	if q.Bits() > 0 {
+	if q.Level() > 0 {
 		digest = q.ReportGroup(now, t.digest[:0])
 		t.digest = digest.Spent
 	}
@@ -177,7 +168,7 @@
 // fill takes what a target is to be told into the word; what has no room waits.
 func (t *Teller) fill(now float64, x *target, d quota.Digest) *Word {
 	w := &t.word
-	w.From, w.Life, w.AgeMs = t.self, t.life, now
+	w.From, w.Life, w.AgeMs = t.self.ID, t.life, now
 	n := min(len(x.hints), mostHints)
 	w.Hints = append(w.Hints[:0], x.hints[:n]...)
 	x.hints = slices.Delete(x.hints, 0, n)
@@ -185,7 +176,7 @@
 	t.told = append(t.told[:0], x.due[:n]...)
 	x.due = slices.Delete(x.due, 0, n)
 	if x.across {
-		w.Spent, w.Group = nil, quota.Digest{Bits: d.Bits, Heard: d.Heard, Spent: t.told}
+		w.Spent, w.Group = nil, quota.Digest{Level: d.Level, Heard: d.Heard, Spent: t.told}
 	} else {
 		w.Spent, w.Group = t.told, quota.Digest{}
 	}
--- a/dataplane/words/word.go
+++ b/dataplane/words/word.go
@@ -19,14 +19,14 @@
 //	"E1" | name hash u64 | life u64 | age in ms, uvarint
 //	     | n uvarint, n x (tenant hash u64, units uvarint)
 //	     | n uvarint, n x (server hash u32, out u8, took u8)
-//	     [ bits u8 | heard uvarint | n uvarint, n x (tenant hash u64, units uvarint) ]
+//	     [ level u8 | heard uvarint | n uvarint, n x (tenant hash u64, units uvarint) ]
 const (
 	magic = "E1"
 	// MaxSize is the size of the longest word, in bytes: it fits a datagram.
 	MaxSize   = 1200
 	mostTold  = 32 // tenants in one word
 	mostHints = 64 // servers in one word
-	mostBits  = 16
+	mostLevel = 16
 )
 
 // Word is what one limiter tells another at a time.
@@ -35,7 +35,7 @@
 	AgeMs      float64
 	Spent      []quota.Spent
 	Hints      []balance.Hint
-	Group      quota.Digest // Bits 0: none
+	Group      quota.Digest // Level 0: none
 }
 
 // ErrWord tells that a datagram is no whole word.
@@ -53,8 +53,8 @@
 		b = binary.BigEndian.AppendUint32(b, h.Server)
 		b = append(b, h.Out, h.Took)
 	}
-	if w.Group.Bits > 0 {
-		b = append(b, byte(w.Group.Bits))
+	if w.Group.Level > 0 {
+		b = append(b, byte(w.Group.Level))
 		b = binary.AppendUvarint(b, uint64(w.Group.Heard))
 		b = appendSpent(b, w.Group.Spent)
 	}
@@ -129,11 +129,11 @@
 	}
 	w.Group = quota.Digest{Spent: w.Group.Spent[:0]}
 	if r.ok && len(r.b) > 0 {
-		bits := r.take(1)[0]
+		level := r.take(1)[0]
 		heard := r.uvarint()
-		w.Group.Bits, w.Group.Heard = uint(bits), int(min(heard, 1<<30))
+		w.Group.Level, w.Group.Heard = quota.Level(level), int(min(heard, 1<<30))
 		w.Group.Spent = r.spent(w.Group.Spent)
-		r.ok = r.ok && bits > 0 && bits <= mostBits
+		r.ok = r.ok && level > 0 && level <= mostLevel
 	}
 	if !r.ok || len(r.b) != 0 {
 		return ErrWord
--- a/dataplane/words/words_test.go
+++ b/dataplane/words/words_test.go
@@ -13,7 +13,7 @@
 // one. Fails where what did not fit is taken for told.
 func TestAllTenantsAreTold(t *testing.T) {
 	t.Parallel()
-	teller := NewTeller(1, 1, "z")
+	teller := NewTeller(quota.Member{ID: 1, Zone: "z"}, 1)
 	x := &target{member: true}
 	const n = 100
 	for id := range uint64(n) {
@@ -42,7 +42,7 @@
 // The longest word fits a datagram, and is read as it was written.
 func TestLongestWord(t *testing.T) {
 	t.Parallel()
-	w := Word{From: 1 << 63, Life: 1 << 62, AgeMs: 1 << 40, Group: quota.Digest{Bits: 4, Heard: 300}}
+	w := Word{From: 1 << 63, Life: 1 << 62, AgeMs: 1 << 40, Group: quota.Digest{Level: 4, Heard: 300}}
 	for i := range mostHints {
 		w.Hints = append(w.Hints, balance.Hint{Server: uint32(i), Out: 255, Took: 255})
 	}
@@ -65,40 +65,40 @@
 func TestTargetsStayFew(t *testing.T) {
 	t.Parallel()
 	for n, most := range map[int]int{11: 10, 24: 23, 100: 60, 300: 90, 1000: 160} {
-		var all []Peer
+		var all []quota.Member
 		for i := range n {
-			all = append(all, Peer{uint64(i)*0x9e3779b97f4a7c15 + 1, []string{"a", "b", "c"}[i%3]})
+			all = append(all, quota.Member{ID: uint64(i)*0x9e3779b97f4a7c15 + 1, Zone: []string{"a", "b", "c"}[i%3]})
 		}
-		bits := quota.GroupBits(n)
-		told := map[uint64]map[uint64]int{} // by whom is told, of which group, how often
+		level := quota.LevelOf(n, 3)
+		told := map[uint64]map[quota.Group]int{} // by whom is told, of which group, how often
 		for i, p := range all {
-			teller := NewTeller(p.ID, 1, p.Zone)
-			var others []Peer
+			teller := NewTeller(p, 1)
+			var others []quota.Member
 			for j, o := range all {
 				if j != i {
 					others = append(others, o)
 				}
 			}
-			teller.Peers(others, bits)
+			teller.Peers(others, level)
 			if teller.Targets() > most {
 				t.Errorf("%d limiters: one tells %d others", n, teller.Targets())
 			}
 			for _, x := range teller.targets {
 				if told[x.ID] == nil {
-					told[x.ID] = map[uint64]int{}
+					told[x.ID] = map[quota.Group]int{}
 				}
 				if x.member || x.across {
-					told[x.ID][quota.GroupOf(p.ID, bits)]++
+					told[x.ID][level.Group(p)]++
 				}
 			}
 		}
-		if bits == 0 {
+		if level == 0 {
 			continue
 		}
 		for _, p := range all {
-			for k := range uint64(1) << bits {
-				if got := told[p.ID][k]; k != quota.GroupOf(p.ID, bits) && got != 2 {
-					t.Fatalf("%d limiters: %x is told of group %d by %d of it", n, p.ID, k, got)
+			for _, o := range all {
+				if k := level.Group(o); k != level.Group(p) && told[p.ID][k] != 2 {
+					t.Fatalf("%d limiters: %x is told of group %v by %d of it", n, p.ID, k, told[p.ID][k])
 				}
 			}
 		}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -9,6 +9,7 @@
 	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/dataplane/limiter"
+	"example.org/silverscale/dataplane/quota"
 	"example.org/silverscale/dataplane/words"
 	"example.org/silverscale/judge"
 	"example.org/silverscale/membership"
@@ -194,10 +195,10 @@
 		return
 	}
 	n.told = n.view.Changed
-	var peers []words.Peer
+	var peers []quota.Member
 	for _, p := range n.view.All() {
 		if p.Name != n.name && p.State != membership.Dead {
-			peers = append(peers, words.Peer{ID: n.f.byName[p.Name].id, Zone: p.Zone})
+			peers = append(peers, quota.Member{ID: n.f.byName[p.Name].id, Zone: p.Zone})
 		}
 	}
 	n.policy.Peers(n.clock(), peers)
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -19,7 +19,7 @@
 type policy interface {
 	Plans(now float64, plans map[uint64]quota.Plan)
 	Servers(now float64, list []api.Server)
-	Peers(now float64, peers []words.Peer)
+	Peers(now float64, peers []quota.Member)
 	Admit(now float64, tenant uint64) (waitMs float64, ok bool)
 	Tick(now float64, send func(to uint64, w *words.Word))
 	Hear(now float64, w *words.Word)
@@ -140,7 +140,7 @@
 func (p *plainPolicy) Targets() int                                 { return 0 }
 
 // Peers fixes the share at the first fleet that is known.
-func (p *plainPolicy) Peers(_ float64, peers []words.Peer) {
+func (p *plainPolicy) Peers(_ float64, peers []quota.Member) {
 	if p.limiters == 0 {
 		p.limiters = len(peers) + 1
 	}
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"errors"
 	"testing"
 
 	"example.org/silverscale/scenario"
@@ -48,7 +49,7 @@
 	t.Parallel()
 	d := day(t)
 	d.Troubles, d.LengthS = nil, 3
-	if err := Vary(d, "machines_per_zone", 25); err != nil {
+	if err := errors.Join(Vary(d, "machines_per_zone", 25), Vary(d, "load", 2.5)); err != nil {
 		t.Fatal(err)
 	}
 	own := play(t, d, "")
