--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -41,6 +41,9 @@
 	Upstream settings.ServerTuning
 	Keys     *keys.Ring         // nil: words between limiters are not sealed
 	Metrics  *telemetry.Metrics // nil: none are kept
+	// Stranger, where set, is told the address of a limiter that speaks to this one
+	// and is not known here. It must not block.
+	Stranger func(addr string)
 }
 
 // Gateway is the data plane of one process.
@@ -49,12 +52,14 @@
 	log   *slog.Logger
 	meter *telemetry.Metrics
 	ring  *keys.Ring
-	start time.Time
-	life  uint64
-	self  uint64 // hash of the name
-	pool  *connpool.Pool[string]
-	lease time.Duration // how long a grant holds; 0: none is needed
-	open  time.Duration // how long connections are taken after SIGTERM
+
+	stranger func(addr string)
+	start    time.Time
+	life     uint64
+	self     uint64 // hash of the name
+	pool     *connpool.Pool[string]
+	lease    time.Duration // how long a grant holds; 0: none is needed
+	open     time.Duration // how long connections are taken after SIGTERM
 
 	view     atomic.Pointer[view]
 	leaseTo  atomic.Int64 // time since start, in ns, until which keyed requests are served
@@ -80,7 +85,7 @@
 // configuration, servers and, where keys are strictly revoked, a lease.
 func New(cfg *settings.Node, o Options) (*Gateway, error) {
 	seed, log := o.Seed, o.Log
-	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
+	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, stranger: o.Stranger, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
 		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
 		conns: map[*clientConn]struct{}{}, open: listenersClose}
 	fds := cfg.Limits.MaxFDs
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -56,7 +56,7 @@
 		sealer = g.ring.Sealer(g.self, g.life)
 	}
 	for ctx.Err() == nil {
-		n, _, err := g.udp.ReadFromUDPAddrPort(buf)
+		n, from, err := g.udp.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
 			return
 		}
@@ -78,7 +78,10 @@
 		}
 		g.meter.Count("elmspan_words_received_total", 1)
 		g.mu.Lock()
-		g.limiter.Hear(inMs(g.now()), &w)
+		known := g.limiter.Hear(inMs(g.now()), &w)
 		g.mu.Unlock()
+		if !known && g.stranger != nil {
+			g.stranger(from.String())
+		}
 	}
 }
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -133,17 +133,18 @@
 	l.teller.Tick(now, l.quota, l.balance, send)
 }
 
-// Hear takes in a word of another limiter. Words of strangers are passed over.
-func (l *Limiter) Hear(now float64, w *words.Word) {
+// Hear takes in a word of another limiter. A stranger's is passed over: false.
+func (l *Limiter) Hear(now float64, w *words.Word) (known bool) {
 	if !l.peers[w.From] {
-		return
+		return false
 	}
 	if w.Group.Level > 0 {
 		l.quota.HeardGroup(now, w.From, w.Life, w.AgeMs, w.Group)
 	} else {
-		l.quota.Heard(now, w.From, w.Life, w.AgeMs, w.Spent)
+		l.quota.Heard(now, w.From, w.Life, w.AgeMs, w.Set, w.Spent)
 	}
 	l.balance.Heard(now, w.From, w.Hints)
+	return true
 }
 
 // Others is how many other limiters there are; Targets how many of them are told something.
--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -123,7 +123,7 @@
 func (s *Set) ReportGroup(now float64, out []Spent) Digest {
 	d := Digest{Level: s.level, Heard: 1, Spent: out}
 	for _, p := range s.peers {
-		if s.direct(p.Member) && now-p.heardAt <= FreshMs {
+		if s.hears(now, p) {
 			d.Heard++
 		}
 	}
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -5,9 +5,11 @@
 // steady clock.
 //
 // A limiter that does not hear some others must not spend their part: of n
-// limiters each owns one n-th of rate and burst in escrow, and a group that
-// hears each other has the parts of its members. The sum over any groups is
-// never above the plan.
+// limiters each owns one n-th of rate and burst in escrow. Each tells whom it
+// hears, and those that hear the same ones, and so each other, share their
+// parts. Every limiter belongs to one such set, whoever hears whom: the sum is
+// never above the plan. It would be where a limiter shared with all that it
+// hears: two that do not hear each other would both spend the parts of a third.
 package quota
 
 import (
@@ -28,7 +30,9 @@
 	oftenMs  = 60.0
 	seldomMs = 250.0
 	pastMs   = 2000.0
-	shareMs  = 10.0 // for so long the part of the quotas is not counted anew
+	changeMs = 150.0 // so long after a change limiters still learn that it has come
+	apartMs  = 500.0 // those that hear others for less are on the way to hear the same
+	shareMs  = 10.0  // for so long the part of the quotas is not counted anew
 )
 
 // Plan is a tenant's quota over all limiters: requests a second and the most
@@ -45,6 +49,7 @@
 	groups  map[Group]*group
 	share   float64 // as part found it ...
 	shareTo float64 // ... until then
+	set     uint32  // whom this limiter hears, itself among them
 }
 
 type tenant struct {
@@ -62,6 +67,8 @@
 	life    uint64
 	metAt   float64 // the first word of this life
 	heardAt float64
+	set     uint32  // whom it hears
+	apart   float64 // since when that is not whom this limiter hears; 0: it is
 	goneAt  float64 // not a member since; 0: it is one
 	spent   map[uint64]uint64
 }
@@ -125,9 +132,21 @@
 func (s *Set) part(now float64) float64 {
 	if now >= s.shareTo {
 		heard, all := 1.0, 1.0
+		s.set = mark(s.self.ID)
+		for _, p := range s.peers {
+			if s.hears(now, p) {
+				s.set ^= mark(p.ID)
+			}
+		}
 		for _, p := range s.peers {
 			all++
-			if s.direct(p.Member) && now-p.heardAt <= FreshMs {
+			switch {
+			case s.level > 0 || p.set == s.set:
+				p.apart = 0
+			case p.apart == 0:
+				p.apart = now
+			}
+			if s.hears(now, p) && (p.apart == 0 || now-p.apart < changeMs) {
 				heard++
 			}
 		}
@@ -141,6 +160,20 @@
 	return s.share
 }
 
+// hears tells whether another limiter's own words come.
+func (s *Set) hears(now float64, p *peer) bool {
+	return s.direct(p.Member) && now-p.heardAt <= FreshMs
+}
+
+// mark is one limiter's part in the sum over those that are heard.
+func mark(id uint64) uint32 { return uint32(id^id>>32) | 1 }
+
+// Hears is the sum over those whom this limiter hears, to be told to them.
+func (s *Set) Hears(now float64) uint32 {
+	s.part(now)
+	return s.set
+}
+
 func (s *Set) refill(now float64, t *tenant) {
 	part := s.part(now)
 	t.balance = bucket.Refill(t.balance, (now-t.at)/1000, t.plan.Rate*part, t.plan.Burst*part)
@@ -205,9 +238,10 @@
 }
 
 // Heard takes in the word of another limiter: which start of it speaks, for
-// how long that has run, and what it has spent. Figures are cumulative, so that
-// the next message heals a lost one.
-func (s *Set) Heard(now float64, from, life uint64, ageMs float64, spent []Spent) {
+// how long that has run, whom it hears, and what it has spent. Figures are
+// cumulative, so that the next message heals a lost one. Of one that hears
+// others than this limiter for some time, it is not drawn: it has its own part.
+func (s *Set) Heard(now float64, from, life uint64, ageMs float64, set uint32, spent []Spent) {
 	p := s.peers[from]
 	if p == nil || !s.direct(p.Member) {
 		return
@@ -216,10 +250,11 @@
 		p.life, p.metAt = life, now
 		clear(p.spent)
 	}
-	if now-p.heardAt > FreshMs {
+	if now-p.heardAt > FreshMs || p.set != set {
 		s.shareTo = 0
 	}
-	p.heardAt = now
+	p.heardAt, p.set = now, set
+	s.part(now)
 	for _, e := range spent {
 		t := s.tenants[e.Tenant]
 		if t == nil {
@@ -232,7 +267,9 @@
 		p.spent[e.Tenant] = max(before, e.Units)
 		if e.Units > before {
 			t.grouped += e.Units - before
-			s.draw(now, t, e.Units-before)
+			if p.apart == 0 || now-p.apart < apartMs {
+				s.draw(now, t, e.Units-before)
+			}
 		}
 	}
 }
--- a/dataplane/quota/quota_test.go
+++ b/dataplane/quota/quota_test.go
@@ -44,7 +44,7 @@
 			words := s.Report(now, nil)
 			for j, o := range g.sets {
 				if j != i && !g.cut(i, j) {
-					o.Heard(now, uint64(i+1), uint64(100+i), now, words)
+					o.Heard(now, uint64(i+1), uint64(100+i), now, s.Hears(now), words)
 				}
 			}
 		}
@@ -87,6 +87,11 @@
 		"each alone":  func(i, j int) bool { return true },
 		"two halves":  func(i, j int) bool { return i%2 != j%2 },
 		"one is deaf": func(i, j int) bool { return j == 0 },
+		// As on a day of pshpta-gw-control: one is cut off from three, and both sides
+		// hear the rest (docs/incidents/0005).
+		"one and three, the rest hears both": func(i, j int) bool {
+			return i == 0 && j >= 1 && j <= 3 || j == 0 && i >= 1 && i <= 3
+		},
 	} {
 		g := newFleet(12, p)
 		at := g.play(0, 8000, 600)
@@ -114,7 +119,7 @@
 func TestBucketRunsOn(t *testing.T) {
 	g := newFleet(2, Plan{Rate: 10, Burst: 50})
 	s := g.sets[0]
-	s.Heard(0, 2, 5, 0, nil)
+	s.Heard(0, 2, 5, 0, mark(1)^mark(2), nil)
 	for range 60 {
 		s.Admit(1, tenantID)
 	}
@@ -123,7 +128,7 @@
 		t.Errorf("a new version gave %v", b)
 	}
 	for range 2 { // doubled
-		s.Heard(2, 2, 5, 2, []Spent{{tenantID, 30}})
+		s.Heard(2, 2, 5, 2, mark(1)^mark(2), []Spent{{tenantID, 30}})
 	}
 	if b := s.Balance(2, tenantID); b > -29 || b < -31 {
 		t.Errorf("balance %v", b)
@@ -139,7 +144,7 @@
 	s := g.sets[0]
 	hear := func(now float64) {
 		for id := uint64(2); id <= 3; id++ {
-			s.Heard(now, id, id, now, nil)
+			s.Heard(now, id, id, now, mark(1)^mark(2)^mark(3), nil)
 		}
 	}
 	hear(100)
--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -137,6 +137,9 @@
 		digest = q.ReportGroup(now, t.digest[:0])
 		t.digest = digest.Spent
 	}
+	set := q.Hears(now)
+	changed := set != t.word.Set // told at once: who shares parts depends on it
+	t.word.Set = set
 	for _, x := range t.targets {
 		if x.hinted {
 			for _, h := range t.hints {
@@ -158,7 +161,7 @@
 			pause = otherMs
 		}
 		since, alive := now-x.sent, x.member || x.across
-		if (len(x.hints)+len(x.due) > 0 && since >= pause) || alive && since >= aliveMs {
+		if (len(x.hints)+len(x.due) > 0 && since >= pause) || alive && (since >= aliveMs || changed) {
 			x.sent, x.theirs = now, false
 			send(x.ID, t.fill(now, x, digest))
 		}
--- a/dataplane/words/word.go
+++ b/dataplane/words/word.go
@@ -13,13 +13,13 @@
 )
 
 // A word in bytes. A lost one heals with the next: units are cumulative, loads
-// are levels. The last part is there only where limiters form groups, so that
-// versions without it are understood in small fleets.
+// are levels.
 //
 //	"E1" | name hash u64 | life u64 | age in ms, uvarint
 //	     | n uvarint, n x (tenant hash u64, units uvarint)
 //	     | n uvarint, n x (server hash u32, out u8, took u8)
-//	     [ level u8 | heard uvarint | n uvarint, n x (tenant hash u64, units uvarint) ]
+//	     | 0 u8 | whom it hears u32, or where limiters form groups:
+//	     | level u8 | heard uvarint | n uvarint, n x (tenant hash u64, units uvarint)
 const (
 	magic = "E1"
 	// MaxSize is the size of the longest word, in bytes: it fits a datagram.
@@ -35,6 +35,7 @@
 	AgeMs      float64
 	Spent      []quota.Spent
 	Hints      []balance.Hint
+	Set        uint32       // whom it hears, as [quota.Set.Hears] has it; Level 0 only
 	Group      quota.Digest // Level 0: none
 }
 
@@ -53,8 +54,10 @@
 		b = binary.BigEndian.AppendUint32(b, h.Server)
 		b = append(b, h.Out, h.Took)
 	}
-	if w.Group.Level > 0 {
-		b = append(b, byte(w.Group.Level))
+	b = append(b, byte(w.Group.Level))
+	if w.Group.Level == 0 {
+		b = binary.BigEndian.AppendUint32(b, w.Set)
+	} else {
 		b = binary.AppendUvarint(b, uint64(w.Group.Heard))
 		b = appendSpent(b, w.Group.Spent)
 	}
@@ -127,13 +130,19 @@
 			w.Hints = append(w.Hints, balance.Hint{Server: binary.BigEndian.Uint32(h), Out: h[4], Took: h[5]})
 		}
 	}
-	w.Group = quota.Digest{Spent: w.Group.Spent[:0]}
-	if r.ok && len(r.b) > 0 {
-		level := r.take(1)[0]
+	w.Set, w.Group = 0, quota.Digest{Spent: w.Group.Spent[:0]}
+	level := r.take(1)
+	switch {
+	case level == nil || level[0] > mostLevel:
+		return ErrWord
+	case level[0] == 0:
+		if b := r.take(4); b != nil {
+			w.Set = binary.BigEndian.Uint32(b)
+		}
+	default:
 		heard := r.uvarint()
-		w.Group.Level, w.Group.Heard = quota.Level(level), int(min(heard, 1<<30))
+		w.Group.Level, w.Group.Heard = quota.Level(level[0]), int(min(heard, 1<<30))
 		w.Group.Spent = r.spent(w.Group.Spent)
-		r.ok = r.ok && level > 0 && level <= mostLevel
 	}
 	if !r.ok || len(r.b) != 0 {
 		return ErrWord
--- a/dataplane/words/words_test.go
+++ b/dataplane/words/words_test.go
@@ -106,7 +106,7 @@
 }
 
 func FuzzWord(f *testing.F) {
-	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x01cccccccc\x07\x01dddd\x01\x10"))
+	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x01cccccccc\x07\x01dddd\x01\x10\x00abcd"))
 	f.Add([]byte("E1aaaaaaaabbbbbbbb\x05\x00\x00\x04\x11\x01cccccccc\x07"))
 	f.Fuzz(func(t *testing.T, b []byte) {
 		var w, again Word
--- a/membership/service.go
+++ b/membership/service.go
@@ -16,6 +16,7 @@
 	beatEvery   = 500 * time.Millisecond
 	beatTimeout = 450 * time.Millisecond
 	joinMost    = 3 // seeds asked at once
+	meetEvery   = 100 * time.Millisecond
 )
 
 // Service is the host of a [View]: it sends and answers heartbeats.
@@ -31,6 +32,8 @@
 	active map[string]bool // beats that are out, by address
 	onNews func([]api.Peer)
 	told   uint64
+	met    time.Duration // the last stranger was called on
+	ctx    context.Context
 	tasks  sync.WaitGroup
 }
 
@@ -44,7 +47,15 @@
 
 // Run sends heartbeats until the context ends.
 func (s *Service) Run(ctx context.Context) {
-	defer s.tasks.Wait()
+	defer func() {
+		s.mu.Lock()
+		s.ctx = nil // nobody is met any more
+		s.mu.Unlock()
+		s.tasks.Wait()
+	}()
+	s.mu.Lock()
+	s.ctx = ctx
+	s.mu.Unlock()
 	for ctx.Err() == nil {
 		s.beatAll(ctx)
 		s.mu.Lock()
@@ -57,6 +68,20 @@
 	}
 }
 
+// Meet calls on a process that has spoken to this one and may not be known here:
+// waiting for the news to travel round would keep them strangers for a second.
+func (s *Service) Meet(addr string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.ctx == nil || s.active[addr] || s.now()-s.met < meetEvery {
+		return
+	}
+	s.met = s.now()
+	s.active[addr] = true
+	ctx, b := s.ctx, &api.Beat{From: s.view.Self(), Digest: s.view.Digest()}
+	s.tasks.Go(func() { s.beat(ctx, addr, b) })
+}
+
 // Leave tells the watchers that this process is leaving.
 func (s *Service) Leave(ctx context.Context) {
 	s.mu.Lock()
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -1,7 +1,11 @@
 package membership
 
 import (
+	"context"
 	"fmt"
+	"log/slog"
+	"net"
+	"sync"
 	"testing"
 	"time"
 
@@ -154,3 +158,36 @@
 		t.Errorf("declared dead: %v", lost)
 	}
 }
+
+// A process that speaks to another one is known there at once, not only once
+// the news has come round; after the end nobody is met any more.
+func TestStrangersMeet(t *testing.T) {
+	t.Parallel()
+	conns := api.NewConns(nil)
+	defer conns.Close()
+	ctx, cancel := context.WithCancel(context.Background())
+	var done sync.WaitGroup
+	start := func(name string) (*Service, string) {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := New(api.Peer{Name: name, Addr: l.Addr().String(), Life: 1}, func() []string { return nil }, conns, 1, slog.New(slog.DiscardHandler), func([]api.Peer) {})
+		srv := api.NewServer(nil)
+		api.RegisterMembership(srv, s)
+		go srv.Serve(l)
+		t.Cleanup(srv.Stop)
+		done.Go(func() { s.Run(ctx) })
+		return s, l.Addr().String()
+	}
+	a, _ := start("a")
+	b, addr := start("b")
+	for end := time.Now().Add(20 * time.Second); len(a.Peers()) < 2 || len(b.Peers()) < 2; time.Sleep(5 * time.Millisecond) {
+		if a.Meet(addr); time.Now().After(end) {
+			t.Fatalf("%v and %v", a.Peers(), b.Peers())
+		}
+	}
+	cancel()
+	done.Wait()
+	a.Meet(addr)
+}
--- a/process/process.go
+++ b/process/process.go
@@ -132,7 +132,8 @@
 		p.client.Local = p.core
 	}
 	if cfg.Serves("edge") {
-		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.tune.Upstream, Keys: p.ring, Metrics: p.meter}); err != nil {
+		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.tune.Upstream, Keys: p.ring, Metrics: p.meter,
+			Stranger: func(addr string) { p.members.Meet(addr) }}); err != nil {
 			return err
 		}
 	}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -19,6 +19,7 @@
 const (
 	beatMs       = 500.0 // as membership.Service has it
 	beatSpread   = 0.1
+	meetMs       = 100.0
 	leastAdvice  = 30.0
 	mostAdvice   = 100.0
 	connectLost  = 300.0 // ms until a connect to a machine that is gone is given up
@@ -41,7 +42,8 @@
 	born   float64
 	downAt float64
 	open   map[*flight]bool
-	seen   int // version of the list of servers
+	seen   int     // version of the list of servers
+	met    float64 // a stranger was called on
 
 	sent, bytes, beats int // counted from the start of traffic
 }
@@ -117,7 +119,12 @@
 			f.ledger.Breaks("WORDS", "a word of %s can't be read: %v", n.name, err)
 			return
 		}
-		o.whenAwake(func() { o.policy.Hear(o.clock(), &got) })
+		o.whenAwake(func() {
+			if !o.policy.Hear(o.clock(), &got) && f.engine.now-o.met >= meetMs {
+				o.met = f.engine.now
+				o.exchange(n, &api.Beat{From: o.view.Self(), Digest: o.view.Digest()}, 2)
+			}
+		})
 	})
 }
 
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -22,7 +22,7 @@
 	Peers(now float64, peers []quota.Member)
 	Admit(now float64, tenant uint64) (waitMs float64, ok bool)
 	Tick(now float64, send func(to uint64, w *words.Word))
-	Hear(now float64, w *words.Word)
+	Hear(now float64, w *words.Word) (known bool)
 	Targets() int
 	begin(r limiter.Request) course
 }
@@ -136,7 +136,7 @@
 
 func (p *plainPolicy) Plans(_ float64, plans map[uint64]quota.Plan) { p.plans = plans }
 func (p *plainPolicy) Tick(float64, func(uint64, *words.Word))      {}
-func (p *plainPolicy) Hear(float64, *words.Word)                    {}
+func (p *plainPolicy) Hear(float64, *words.Word) bool               { return true }
 func (p *plainPolicy) Targets() int                                 { return 0 }
 
 // Peers fixes the share at the first fleet that is known.
