--- /dev/null
+++ b/dataplane/limiter/growth_test.go
@@ -0,0 +1,93 @@
+package limiter
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"example.org/silverscale/api"
+	"example.org/silverscale/dataplane/quota"
+	"example.org/silverscale/dataplane/words"
+)
+
+// BenchmarkSecond is what one limiter of n does in a second, without sockets:
+// its ticks, the words that come, and 30 requests among 3n servers. It reports
+// words sent and the bytes that a limiter holds. See docs/growth.md.
+func BenchmarkSecond(b *testing.B) {
+	for _, n := range []int{11, 24, 100, 300, 1000} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var list []api.Server
+			for i := range 3 * n {
+				list = append(list, api.Server{ID: fmt.Sprint("i-", i), Upstream: "s", Zone: zone(uint64(i)), Capacity: 2, State: "in_service"})
+			}
+			f := newFleet(n, quota.Plan{Rate: float64(30 * n), Burst: float64(30 * n)})
+			for _, id := range f.ids {
+				f.at[id].Servers(0, list)
+			}
+			one := f.at[f.ids[0]]
+			var in []*words.Word // what comes to one limiter in 150 ms
+			var copies [][]byte
+			for now := 0.0; now < 300; now += words.TickMs {
+				for _, id := range f.ids {
+					f.at[id].Tick(now, func(to uint64, w *words.Word) {
+						if to == f.ids[0] && now >= 150 {
+							copies = append(copies, w.Append(nil))
+						}
+					})
+				}
+			}
+			for _, c := range copies {
+				w := &words.Word{}
+				if err := w.Decode(c); err != nil {
+					b.Fatal(err)
+				}
+				in = append(in, w)
+			}
+			sent, now := 0, 300.0
+			b.ResetTimer()
+			for range b.N {
+				for end := now + 1000; now < end; now += words.TickMs {
+					one.Tick(now, func(uint64, *words.Word) { sent++ })
+					for k := 0; k < len(in)*6/150+1 && len(in) > 0; k++ {
+						one.Hear(now, in[(int(now)+k)%len(in)])
+					}
+					if int(now)%33 < int(words.TickMs) {
+						one.Admit(now, tenantID)
+						c := one.NewFlight(Request{Service: "s", Repeatable: true, Held: true, Tries: 2, ArrivedMs: now, DeadlineMs: now + 1000, AimMs: 300})
+						if m, _, _ := c.Launch(now, false); m != nil {
+							one.Done(now+50, m, 0, 50)
+						}
+					}
+				}
+			}
+			b.StopTimer()
+			b.ReportMetric(float64(sent)/float64(b.N), "words/s")
+			b.ReportMetric(float64(one.Targets()), "told")
+			b.ReportMetric(held(n, list), "B-held")
+		})
+	}
+}
+
+// held is what one limiter of n holds in memory.
+func held(n int, list []api.Server) float64 {
+	const copies = 20
+	var before, after runtime.MemStats
+	var all []*Limiter
+	var others []quota.Member
+	for i := 1; i < n; i++ {
+		id := uint64(i)*0x9e3779b97f4a7c15 + 1
+		others = append(others, quota.Member{ID: id, Zone: zone(id)})
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&before)
+	for range copies {
+		l := New(0, Config{Self: 1, Zone: zone(1), Seed: 1})
+		l.Servers(0, list)
+		l.Peers(0, others)
+		all = append(all, l)
+	}
+	runtime.GC()
+	runtime.ReadMemStats(&after)
+	runtime.KeepAlive(all)
+	return float64(after.HeapAlloc-before.HeapAlloc) / copies
+}
