--- a/emulator/fleet.go
+++ b/emulator/fleet.go
@@ -45,6 +45,7 @@
 	nodes    []*node
 	operator *operator
 	load     *load
+	drawing  sync.Mutex // over rng
 	rng      *rand.Rand
 	ports    ports
 	exits    atomic.Int64 // of processes, by themselves
@@ -308,7 +309,7 @@
 		}
 		ends.Wait()
 		tasks.Wait()
-		for _, s := range f.platform.pick(f.rng, 1<<20) {
+		for _, s := range f.platform.pick(f.perm, 1<<20) {
 			s.stop()
 		}
 	}()
--- a/emulator/platform.go
+++ b/emulator/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"math/rand/v2"
 	"net"
 	"net/http"
 	"sync"
@@ -108,10 +107,10 @@
 }
 
 // pick returns some servers at random.
-func (p *platform) pick(rng *rand.Rand, n int) (out []*server) {
+func (p *platform) pick(perm func(int) []int, n int) (out []*server) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for _, i := range rng.Perm(len(p.servers)) {
+	for _, i := range perm(len(p.servers)) {
 		if len(out) < n {
 			out = append(out, p.servers[i])
 		}
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -52,16 +52,16 @@
 			time.AfterFunc(lasting, func() { n.signal(syscall.SIGCONT) })
 		}
 	case "crash":
-		for _, s := range f.platform.pick(f.rng, count) {
+		for _, s := range f.platform.pick(f.perm, count) {
 			s.stop()
 			time.AfterFunc(lasting, func() { f.platform.gone(s) })
 		}
 	case "release", "reuse":
-		for _, s := range f.platform.pick(f.rng, count) {
+		for _, s := range f.platform.pick(f.perm, count) {
 			f.replace(ctx, s, t.Kind == "reuse")
 		}
 	case "lost_answers", "slow":
-		for _, s := range f.platform.pick(f.rng, count) {
+		for _, s := range f.platform.pick(f.perm, count) {
 			s.mu.Lock()
 			if t.Kind == "slow" {
 				s.slow = max(2, t.X)
@@ -124,11 +124,15 @@
 	l.hot, l.hotX = name, x
 }
 
+// perm draws an order at random. Troubles strike at the same time.
+func (f *Fleet) perm(n int) []int {
+	f.drawing.Lock()
+	defer f.drawing.Unlock()
+	return f.rng.Perm(n)
+}
+
 func (f *Fleet) some(count int) (out []*node) {
-	f.load.mu.Lock()
-	order := f.rng.Perm(len(f.nodes))
-	f.load.mu.Unlock()
-	for _, i := range order {
+	for _, i := range f.perm(len(f.nodes)) {
 		if len(out) < count {
 			out = append(out, f.nodes[i])
 		}
