One model of clients and servers for emulator and simulation; the tuning file read once

They are in scenario and dataplane, one each. Derived or dead: balance's sampled (a copy of many), limiter.Balance. The tuning file was read and checked twice at each start.

--- a/cmd/elmspan-lab/load.go
+++ b/cmd/elmspan-lab/load.go
@@ -66,15 +66,8 @@
 	for i := range day.Classes {
 		k := &day.Classes[i]
 		for at := rng.ExpFloat64() / (k.PerS * c.X); at < day.LengthS; at += rng.ExpFloat64() / (k.PerS * c.X) {
-			x := rng.Float64() * day.Shares()
-			tenant := day.Tenants[0].Name
-			for _, t := range day.Tenants {
-				if x -= t.Share; x < 0 {
-					tenant = t.Name
-					break
-				}
-			}
-			all = append(all, sending{time.Duration(at * float64(time.Second)), k, tenant})
+			tenant, _ := day.Draw(rng, "", 0)
+			all = append(all, sending{time.Duration(at * float64(time.Second)), k, tenant.Name})
 		}
 	}
 	if c.Record != "" {
--- a/cmd/elmspan-lab/main.go
+++ b/cmd/elmspan-lab/main.go
@@ -110,8 +110,7 @@
 		day.Seed = c.Seed
 	}
 	if c.Seconds > 0 {
-		day.LengthS = c.Seconds
-		day.Troubles = slices.DeleteFunc(day.Troubles, func(t scenario.Trouble) bool { return t.At > c.Seconds })
+		day.Shorten(c.Seconds)
 	}
 	if c.Machine > 0 {
 		if err := simulation.Vary(day, "machines_per_zone", float64(c.Machine)); err != nil {
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -101,7 +101,7 @@
 	handler = logbound.New(handler, time.Duration(tune.Log.RepeatS*float64(time.Second)), time.Now)
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	p, err := process.New(process.Options{Settings: c.Settings, Tuning: c.Tuning, Log: slog.New(handler), Level: follow})
+	p, err := process.New(process.Options{Settings: c.Settings, Tuning: c.Tuning, Tune: tune, Log: slog.New(handler), Level: follow})
 	if err != nil {
 		return err
 	}
--- a/cmd/elmspan/tools.go
+++ b/cmd/elmspan/tools.go
@@ -368,8 +368,7 @@
 		spec.Seed = c.Seed
 	}
 	if c.Seconds > 0 {
-		spec.LengthS = c.Seconds
-		spec.Troubles = slices.DeleteFunc(spec.Troubles, func(t scenario.Trouble) bool { return t.At > c.Seconds })
+		spec.Shorten(c.Seconds)
 	}
 	if c.Dir == "" {
 		if c.Dir, err = os.MkdirTemp("", "elmspan-"); err != nil {
--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -17,10 +17,11 @@
 )
 
 // Reach is how many limiters of its zone, on each side of it by their ids, a
-// limiter of a large fleet shares servers with. Whoever uses one of those servers is 2 x Reach places away at most: with
-// the words of so many a limiter knows all that is out there. To choose among
-// all servers by the little that one limiter of hundreds sees of each is worse
-// than to choose at random (see docs/decisions/0003).
+// limiter of a large fleet shares servers with. Whoever uses one of those
+// servers is 2 x Reach places away at most: with the words of so many a limiter
+// knows all that is out there. To choose among all servers by the little that
+// one limiter of hundreds sees of each is worse than to choose at random (see
+// docs/decisions/0003).
 const Reach = 3
 
 const (
@@ -65,7 +66,7 @@
 	offTo   float64 // ejected
 	fullTo  float64
 	warmAt  float64
-	rank    uint8 // 0: this limiter prefers it, 1: others of the zone do, 2: far away in a large one
+	rank    uint8 // 0: this limiter prefers it, 1: others of the zone do, 2: far away in a large fleet
 	gone    bool
 }
 
@@ -76,8 +77,7 @@
 
 type service struct {
 	members []*Member
-	close   []*Member // in a large zone: those of the limiters next to this one
-	sampled bool      // in a large zone
+	close   []*Member // in a large fleet: those of the limiters next to this one
 	work    float64
 	n       float64
 }
@@ -158,7 +158,7 @@
 func (s *Set) prefer() {
 	at, p := max(0, slices.Index(s.peers, s.self)), max(1, len(s.peers))
 	for _, v := range s.services {
-		v.sampled, v.close = s.many, v.close[:0]
+		v.close = v.close[:0]
 		n := 0
 		for _, m := range v.members {
 			if m.Zone == s.zone && m.State != api.Draining {
@@ -169,10 +169,10 @@
 		for _, m := range v.members {
 			m.rank = 1
 			switch usable := m.Zone == s.zone && m.State != api.Draining; {
-			case !usable && v.sampled:
+			case !usable && s.many:
 				m.rank = 2
 			case !usable:
-			case v.sampled:
+			case s.many:
 				d := (k*p/n - at + p) % p // places from this limiter to the server's
 				if m.rank = 2; min(d, p-d) <= Reach || p <= 4*Reach+1 {
 					m.rank = uint8(min(1, d))
@@ -260,7 +260,7 @@
 			}
 		}
 	}
-	if v.sampled {
+	if s.many {
 		for _, m := range v.close {
 			around += m.Load(now) / float64(m.Capacity) / float64(len(v.close))
 		}
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -171,7 +171,7 @@
 func (g *Gateway) Run(ctx context.Context) {
 	work, stop := context.WithCancel(context.Background())
 	g.tasks.Go(func() { g.pool.Sweep(work) })
-	g.tasks.Go(func() { g.gossip(work) }) // words to other limiters
+	g.tasks.Go(func() { g.gossip(work) })
 	g.tasks.Go(func() { g.hear(work) })
 	g.tasks.Go(func() { g.ready.Serve(g.readyOn) })
 	g.tasks.Go(g.accept)
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -18,10 +18,7 @@
 	t := time.NewTicker(millis(words.TickMs))
 	defer t.Stop()
 	buf, sealed := make([]byte, 0, words.MaxSize), []byte(nil)
-	var sealer *keys.Sealer
-	if g.ring != nil {
-		sealer = g.ring.Sealer(g.self, g.life)
-	}
+	sealer := g.sealer()
 	for {
 		select {
 		case <-ctx.Done():
@@ -47,14 +44,19 @@
 	}
 }
 
+// sealer seals or opens words; nil where they are in the clear.
+func (g *Gateway) sealer() *keys.Sealer {
+	if g.ring == nil {
+		return nil
+	}
+	return g.ring.Sealer(g.self, g.life)
+}
+
 // hear takes in what the others tell until the socket closes.
 func (g *Gateway) hear(ctx context.Context) {
 	buf, open := make([]byte, words.MaxSize+keys.Overhead+1), []byte(nil)
 	var w words.Word
-	var sealer *keys.Sealer
-	if g.ring != nil {
-		sealer = g.ring.Sealer(g.self, g.life)
-	}
+	sealer := g.sealer()
 	for ctx.Err() == nil {
 		n, from, err := g.udp.ReadFromUDPAddrPort(buf)
 		if errors.Is(err, net.ErrClosed) {
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -155,6 +155,3 @@
 
 // Members returns the servers of all services, by id.
 func (l *Limiter) Members() []*balance.Member { return l.balance.Members() }
-
-// Balance returns what a tenant's bucket holds here, for reports.
-func (l *Limiter) Balance(now float64, tenant uint64) float64 { return l.quota.Balance(now, tenant) }
--- a/emulator/ask.go
+++ b/emulator/ask.go
@@ -18,7 +18,6 @@
 )
 
 const (
-	mostTries   = 4
 	keepConns   = 80 // to one limiter, kept for later requests
 	connectFor  = time.Second
 	nobodyPause = 20 * time.Millisecond
@@ -73,7 +72,7 @@
 
 func (c *Client) ask(ctx context.Context, a ask) (status, tries int) {
 	deadline := time.Now().Add(time.Duration(a.class.DeadlineMs * float64(time.Millisecond)))
-	for tries < mostTries && time.Now().Before(deadline) && ctx.Err() == nil {
+	for tries < scenario.MostTries && time.Now().Before(deadline) && ctx.Err() == nil {
 		to := a.entry(tries)
 		if to == "" {
 			backoff.Sleep(ctx, nobodyPause)
@@ -84,12 +83,10 @@
 		var wait time.Duration
 		var unread bool
 		status, wait, unread = c.try(&a, to, id, deadline)
-		promise := status == 429 || status == 503 || status == 408 || status == 421
-		if status/100 == 2 || status == 400 || status == 401 || status == 404 || status == 413 ||
-			!a.class.Repeatable() && !promise && !unread {
+		if !a.class.Again(status, unread) {
 			break
 		}
-		pause := max(wait, time.Duration(tries*10)*time.Millisecond)
+		pause := scenario.Pause(tries, wait)
 		if time.Now().Add(pause).After(deadline) {
 			break
 		}
--- a/emulator/client.go
+++ b/emulator/client.go
@@ -43,13 +43,7 @@
 		l.tasks.Go(func() {
 			for time.Now().Before(end) {
 				l.mu.Lock()
-				t, x := l.tenant(), 1.0
-				if l.hot != "" {
-					x = 1 + (l.hotX-1)*l.share(l.hot)
-					if l.rng.Float64() < (l.hotX-1)*l.share(l.hot)/x {
-						t = l.f.spec.Tenant(l.hot)
-					}
-				}
+				t, x := l.f.spec.Draw(l.rng, l.hot, l.hotX)
 				pause := l.rng.ExpFloat64() / (c.PerS * x)
 				l.seq++
 				n, zone, client := l.seq, l.rng.IntN(len(l.f.spec.Zones)), l.rng.IntN(clientCount)
@@ -62,19 +56,6 @@
 	l.tasks.Wait()
 }
 
-func (l *load) share(name string) float64 { return l.f.spec.Tenant(name).Share / l.f.spec.Shares() }
-
-func (l *load) tenant() *scenario.Tenant {
-	x := l.rng.Float64() * l.f.spec.Shares()
-	for i := range l.f.spec.Tenants {
-		t := &l.f.spec.Tenants[i]
-		if x -= t.Share; x < 0 {
-			return t
-		}
-	}
-	return &l.f.spec.Tenants[0]
-}
-
 // request is one client's request, with its further tries.
 func (l *load) request(c *scenario.Class, t *scenario.Tenant, zone, client, n int) {
 	began := time.Now()
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -5,7 +5,6 @@
 	"bytes"
 	"fmt"
 	"hash/crc32"
-	"math"
 	"math/rand/v2"
 	"net"
 	"strconv"
@@ -153,10 +152,7 @@
 	defer func() { <-s.slots }()
 	s.ledger.Ran(id, judge.Run{Service: s.service, Member: s.id, Tenant: h.Get("Tenant-Name"), Body: crc32.ChecksumIEEE(body)}, h.Get("Authorization") != "")
 	s.mu.Lock()
-	work := class.WorkMs * s.slow * math.Exp(0.5*s.rng.NormFloat64()-0.125)
-	if cold := s.spec.ColdS - time.Since(s.born).Seconds(); cold > 0 {
-		work *= 2
-	}
+	work := class.Work(s.rng, s.slow, time.Since(s.born).Seconds() < s.spec.ColdS)
 	lost, dead, draining := s.rng.Float64() < s.lose, s.dead, s.draining
 	s.mu.Unlock()
 	if dead {
--- a/process/process.go
+++ b/process/process.go
@@ -41,8 +41,9 @@
 
 // Options are what a process is started with.
 type Options struct {
-	Settings string // path of the node's file
-	Tuning   string // path of the tuning file; may be empty
+	Settings string           // path of the node's file
+	Tuning   string           // path of the tuning file, for changes of it; may be empty
+	Tune     *settings.Tuning // what it said at the start
 	Log      *slog.Logger
 	// Level, where set, follows log.level when the tuning file is read again.
 	Level *slog.LevelVar
@@ -52,7 +53,6 @@
 type Process struct {
 	Options
 	log   *slog.Logger
-	tune  *settings.Tuning   // as at the start
 	ring  *keys.Ring         // nil: the system's own processes speak in the clear
 	meter *telemetry.Metrics // nil: none are kept
 	seed  uint64             // of all that is drawn at random; each goroutine has a source of its own
@@ -81,12 +81,8 @@
 	if err != nil {
 		return nil, err
 	}
-	tune, err := settings.ReadTuning(o.Tuning)
-	if err != nil {
-		return nil, err
-	}
-	seed, log := rand.Uint64(), o.Log
-	p := &Process{Options: o, log: log, tune: tune, seed: seed, look: make(chan struct{}, 1), start: time.Now()}
+	seed, log, tune := rand.Uint64(), o.Log, o.Tune
+	p := &Process{Options: o, log: log, seed: seed, look: make(chan struct{}, 1), start: time.Now()}
 	if tune.TLS.Dir != "" {
 		if p.ring, err = keys.Open(tune.TLS.Dir); err != nil {
 			return nil, fmt.Errorf("tls.dir: %w", err)
@@ -105,7 +101,7 @@
 }
 
 func (p *Process) open(cfg *settings.Node, seed uint64) (err error) {
-	if addr := p.tune.Metrics.Address; addr != "" {
+	if addr := p.Tune.Metrics.Address; addr != "" {
 		l, err := net.Listen("tcp", addr)
 		if err != nil {
 			return fmt.Errorf("metrics.address: %w", err)
@@ -132,7 +128,7 @@
 		p.client.Local = p.core
 	}
 	if cfg.Serves("edge") {
-		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.tune.Upstream, Keys: p.ring, Metrics: p.meter,
+		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.Tune.Upstream, Keys: p.ring, Metrics: p.meter,
 			Stranger: func(addr string) { p.members.Meet(addr) }}); err != nil {
 			return err
 		}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -18,6 +18,7 @@
 
 	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/h1"
+	"example.org/silverscale/settings"
 )
 
 const patience = 30 * time.Second
@@ -135,7 +136,7 @@
 // start runs the machine's process and returns what ends it in order.
 func (m *machine) start() (p *Process, stop func()) {
 	m.t.Helper()
-	p, err := New(Options{Settings: m.path(), Log: slog.New(slog.DiscardHandler)})
+	p, err := New(Options{Settings: m.path(), Tune: settings.DefaultTuning(), Log: slog.New(slog.DiscardHandler)})
 	if err != nil {
 		m.t.Fatal(err)
 	}
--- /dev/null
+++ b/scenario/model.go
@@ -0,0 +1,74 @@
+package scenario
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// What follows is how clients and servers behave, on loopback and simulated.
+
+// MostTries is how often a client sends a request at the most.
+const MostTries = 4
+
+// Draw picks whose request comes next, and by how many times requests come
+// faster while one tenant (empty: none) sends hotX times its usual.
+func (s *Day) Draw(rng *rand.Rand, hot string, hotX float64) (t *Tenant, faster float64) {
+	x := rng.Float64() * s.Shares()
+	t = &s.Tenants[0]
+	for i := range s.Tenants {
+		if x -= s.Tenants[i].Share; x < 0 {
+			t = &s.Tenants[i]
+			break
+		}
+	}
+	if hot == "" {
+		return t, 1
+	}
+	more := (hotX - 1) * s.Tenant(hot).Share / s.Shares()
+	if faster = 1 + more; rng.Float64() < more/faster {
+		t = s.Tenant(hot)
+	}
+	return t, faster
+}
+
+// Shorten ends the day earlier; troubles past its end don't strike.
+func (s *Day) Shorten(seconds float64) {
+	s.LengthS = seconds
+	var within []Trouble
+	for _, t := range s.Troubles {
+		if t.At <= seconds {
+			within = append(within, t)
+		}
+	}
+	s.Troubles = within
+}
+
+// Again tells whether a client sends a request again after a status (0: no
+// answer): one that may run twice, or that was promised not to have run, or that
+// the limiter can't have read. What is wrong with it stays so.
+func (c *Class) Again(status int, unread bool) bool {
+	switch {
+	case status/100 == 2, status == 400, status == 401, status == 404, status == 413:
+		return false
+	case status == 429, status == 503, status == 408, status == 421:
+		return true
+	}
+	return c.Repeatable() || unread
+}
+
+// Pause is how long a client waits after so many tries, told to come back after
+// a wait.
+func Pause(tries int, wait time.Duration) time.Duration {
+	return max(wait, time.Duration(tries)*10*time.Millisecond)
+}
+
+// Work draws how long a server works on a request, in milliseconds: so many
+// times as long as usual, and twice that while it is cold.
+func (c *Class) Work(rng *rand.Rand, slow float64, cold bool) float64 {
+	ms := c.WorkMs * slow * math.Exp(0.5*rng.NormFloat64()-0.125)
+	if cold {
+		ms *= 2
+	}
+	return ms
+}
--- a/simulation/client.go
+++ b/simulation/client.go
@@ -30,14 +30,7 @@
 		c := &f.day.Classes[i]
 		var next func()
 		next = func() {
-			t, x := f.pickTenant(), 1.0
-			if f.hot != "" {
-				share := f.day.Tenant(f.hot).Share / f.day.Shares()
-				x = 1 + (f.hotX-1)*share
-				if f.rng.Float64() < (f.hotX-1)*share/x {
-					t = f.day.Tenant(f.hot)
-				}
-			}
+			t, x := f.day.Draw(f.rng, f.hot, f.hotX)
 			f.engine.after(1000*f.rng.ExpFloat64()/(c.PerS*x), func() {
 				if f.engine.now >= f.day.LengthS*1000 {
 					return
@@ -61,16 +54,6 @@
 	}
 }
 
-func (f *fleet) pickTenant() *scenario.Tenant {
-	x := f.rng.Float64() * f.day.Shares()
-	for i := range f.day.Tenants {
-		if x -= f.day.Tenants[i].Share; x < 0 {
-			return &f.day.Tenants[i]
-		}
-	}
-	return &f.day.Tenants[0]
-}
-
 // entry is the limiter that a client gets, by hash over those that the platform
 // holds for ready.
 func (f *fleet) entry(zone string, client int) *node {
@@ -98,7 +81,7 @@
 // try sends the request once more.
 func (r *request) try() {
 	f := r.f
-	if r.tries >= mostTries || f.engine.now >= r.deadline {
+	if r.tries >= scenario.MostTries || f.engine.now >= r.deadline {
 		r.end()
 		return
 	}
@@ -138,13 +121,13 @@
 func (r *request) answered(status int, waitMs float64, read bool) {
 	f := r.f
 	r.status = status
-	promise := status == 429 || status == 503
-	if status == 200 || !r.class.Repeatable() && !promise && read {
+	if !r.class.Again(status, !read) {
 		r.end()
 		return
 	}
-	pause := max(waitMs, float64(r.tries)*10)
-	if r.tries >= mostTries || f.engine.now+pause > r.deadline {
+	ms := float64(time.Millisecond)
+	pause := float64(scenario.Pause(r.tries, time.Duration(waitMs*ms))) / ms
+	if r.tries >= scenario.MostTries || f.engine.now+pause > r.deadline {
 		r.end()
 		return
 	}
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -25,7 +25,6 @@
 	zoneMs     = 0.25   // one way, where the day says nothing
 	crossMs    = 1.0
 	clients    = 40 // a zone
-	mostTries  = 4
 	keepDeadMs = 500.0
 )
 
--- a/simulation/server.go
+++ b/simulation/server.go
@@ -1,8 +1,6 @@
 package simulation
 
 import (
-	"math"
-
 	"example.org/silverscale/api"
 	"example.org/silverscale/dataplane/balance"
 	"example.org/silverscale/judge"
@@ -81,10 +79,7 @@
 		}
 		s.busy++
 		s.f.ledger.Ran(j.id, judge.Run{Service: s.spec.Name, Member: s.id, Tenant: j.tenant}, false)
-		work := j.class.WorkMs * s.slow * math.Exp(0.5*s.f.rng.NormFloat64()-0.125)
-		if e.now-s.bornMs < 1000*s.spec.ColdS {
-			work *= 2
-		}
+		work := j.class.Work(s.f.rng, s.slow, e.now-s.bornMs < 1000*s.spec.ColdS)
 		lost := s.f.rng.Float64() < s.lose
 		e.after(work, func() {
 			if s.dead {
