--- a/membership/view.go
+++ b/membership/view.go
@@ -5,13 +5,13 @@
 
 import (
 	"cmp"
-	"fmt"
+	"encoding/binary"
 	"slices"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"example.org/silverscale/api"
+	"example.org/elmspan/api"
 )
 
 // The states of a process, worst last.
@@ -27,16 +27,28 @@
 	deadAfter    = 2500 * time.Millisecond // without a beat, at a watcher
 	keepDead     = 60 * time.Second
 	stoodStill   = time.Second // without a beat of its own: this process stood still
+	recentFor    = 3 * time.Second
+	recentMost   = 16 // changes that go along with a heartbeat
+	buckets      = 64
 )
 
 // View is what one process knows. It does no I/O and reads no clock: times
 // are on the host's steady clock.
+//
+// Views that differ are brought together in one exchange of two rounds. The first
+// carries what has changed of late at either side, which is nearly always all.
+// Where that is not enough the answer tells a digest of each of 64 parts of the
+// view, by the names' hashes, and the second round carries the parts that differ:
+// what is sent depends on what differs, not on how many processes there are.
 type View struct {
-	self   api.Peer
-	peers  map[string]*record // by name, without self
-	ring   []string           // names of those not dead, self included, by hash
-	digest uint64
-	beatAt time.Duration
+	self    api.Peer
+	peers   map[string]*record // by name, without self
+	ring    []place            // of those not dead, self included, by hash
+	parts   [buckets]uint64    // digests
+	recent  []change           // oldest first
+	beatAt  time.Duration
+	dead    int
+	watched map[string]bool // whom this process is a watcher of
 	// Changed counts the changes, for hosts that keep a copy.
 	Changed uint64
 }
@@ -45,22 +57,68 @@
 	api.Peer
 	heardAt time.Duration // a beat came, or it became known
 	deadAt  time.Duration
-	watched bool // this process is one of its watchers
+}
+
+// place is a process's place on the ring.
+type place struct {
+	hash uint64
+	name string
+}
+
+func (a place) compare(b place) int {
+	return cmp.Or(cmp.Compare(a.hash, b.hash), cmp.Compare(a.name, b.name))
+}
+
+type change struct {
+	name string
+	at   time.Duration
 }
 
 // NewView returns the view of a process that knows nobody.
 func NewView(self api.Peer) *View {
-	v := &View{self: self, peers: map[string]*record{}}
-	v.self.Incarnation = max(1, self.Incarnation)
-	v.index()
+	v := &View{self: self, peers: map[string]*record{}, watched: map[string]bool{}}
+	v.self.Incarnation = max(1, v.self.Incarnation)
+	v.swap(nil, &v.self)
 	return v
 }
 
+// swap notes that one thing is known of a process in place of another; nil is nothing.
+func (v *View) swap(old, next *api.Peer) {
+	v.Changed++
+	for _, p := range []*api.Peer{old, next} {
+		if p != nil && p.State != Dead { // the dead are forgotten at different times
+			v.parts[part(p.Name)] ^= hash(*p)
+		}
+	}
+	was, is := old != nil && old.State != Dead, next != nil && next.State != Dead
+	switch {
+	case was && !is:
+		if i, ok := v.place(old.Name); ok {
+			v.ring = slices.Delete(v.ring, i, i+1)
+		}
+	case is && !was:
+		i, _ := v.place(next.Name)
+		v.ring = slices.Insert(v.ring, i, place{xxhash.Sum64String(next.Name), next.Name})
+	}
+}
+
+// place returns where a name stands on the ring, or would.
+func (v *View) place(name string) (int, bool) {
+	return slices.BinarySearchFunc(v.ring, place{xxhash.Sum64String(name), name}, place.compare)
+}
+
+func part(name string) int { return int(xxhash.Sum64String(name) >> 58) }
+
 // Self is what this process says of itself.
 func (v *View) Self() api.Peer { return v.self }
 
 // Digest is equal where views are.
-func (v *View) Digest() uint64 { return v.digest }
+func (v *View) Digest() (d uint64) {
+	for _, p := range v.parts {
+		d ^= p
+	}
+	return d
+}
 
 // All returns every known process, self included, by name.
 func (v *View) All() []api.Peer {
@@ -74,9 +132,14 @@
 
 // Leave marks this process as leaving.
 func (v *View) Leave() {
-	v.self.State = Leaving
-	v.self.Incarnation++
-	v.index()
+	v.say(func(p *api.Peer) { p.State, p.Incarnation = Leaving, p.Incarnation+1 })
+}
+
+// say changes what this process says of itself.
+func (v *View) say(f func(*api.Peer)) {
+	old := v.self
+	f(&v.self)
+	v.swap(&old, &v.self)
 }
 
 // Merge takes in what another process knows and tells whether any of it is news.
@@ -90,7 +153,7 @@
 			// Something older than this life, or a rumour of its death, is overruled.
 			if p.Life != v.self.Life && p.Incarnation >= v.self.Incarnation ||
 				p.Incarnation >= v.self.Incarnation && p.State > v.self.State {
-				v.self.Incarnation = p.Incarnation + 1
+				v.say(func(s *api.Peer) { s.Incarnation = p.Incarnation + 1 })
 				news = true
 			}
 			continue
@@ -98,29 +161,126 @@
 		r := v.peers[p.Name]
 		switch {
 		case r == nil:
-			if len(v.peers) >= mostPeers {
+			// One that is dead and not known here is not learnt of: else those who forget
+			// it would be told of it again without end.
+			if p.State == Dead || len(v.peers) >= mostPeers {
 				continue
 			}
-			v.peers[p.Name] = &record{Peer: p, heardAt: now, deadAt: now}
+			v.put(now, p)
 		case newer(p, r.Peer):
-			if p.State == Dead && r.State != Dead {
-				r.deadAt = now
-			}
-			if p.State != Dead && (r.State == Dead || r.Life != p.Life) {
-				r.heardAt = now
-			}
-			r.Peer = p
+			v.put(now, p)
 		default:
 			continue
 		}
 		news = true
 	}
-	if news {
-		v.index()
-	}
 	return news
 }
 
+// put takes in what is known of another process from now on.
+func (v *View) put(now time.Duration, p api.Peer) {
+	r := v.peers[p.Name]
+	var old *api.Peer
+	if r == nil {
+		r = &record{heardAt: now, deadAt: now}
+		v.peers[p.Name] = r
+	} else {
+		o := r.Peer
+		old = &o
+		if p.State == Dead && o.State != Dead {
+			r.deadAt = now
+		}
+		if p.State != Dead && (o.State == Dead || o.Life != p.Life) {
+			r.heardAt = now
+		}
+		if o.State == Dead {
+			v.dead--
+		}
+	}
+	if r.Peer = p; p.State == Dead {
+		v.dead++
+	}
+	v.swap(old, &r.Peer)
+	if v.recent = append(v.recent, change{p.Name, now}); len(v.recent) > recentMost {
+		v.recent = slices.Delete(v.recent, 0, len(v.recent)-recentMost)
+	}
+}
+
+// ---- Exchanges ----
+
+// Beat returns the heartbeat of now.
+func (v *View) Beat(now time.Duration) *api.Beat {
+	return &api.Beat{From: v.self, Digest: v.Digest(), Peers: v.late(now)}
+}
+
+// late are the processes of which something has changed of late.
+func (v *View) late(now time.Duration) (out []api.Peer) {
+	told := map[string]bool{}
+	for _, c := range slices.Backward(v.recent) {
+		if now-c.at > recentFor {
+			break
+		}
+		if r := v.peers[c.name]; r != nil && !told[c.name] {
+			told[c.name] = true
+			out = append(out, r.Peer)
+		}
+	}
+	return out
+}
+
+// in are all processes of some parts of the view.
+func (v *View) in(mask uint64) (out []api.Peer) {
+	for _, p := range v.All() {
+		if mask>>part(p.Name)&1 == 1 {
+			out = append(out, p)
+		}
+	}
+	return out
+}
+
+// Answer takes in a heartbeat and returns the answer to it.
+func (v *View) Answer(now time.Duration, b *api.Beat) *api.BeatReply {
+	v.Heard(now, b.From)
+	v.Merge(now, b.Peers)
+	r := &api.BeatReply{Digest: v.Digest()}
+	switch {
+	case r.Digest == b.Digest:
+	case b.Want != 0:
+		r.Peers = v.in(b.Want)
+	default:
+		r.Peers, r.Buckets = v.late(now), v.folded()
+	}
+	return r
+}
+
+// Answered takes in the answer to a heartbeat, and returns the second round's
+// where one is needed.
+func (v *View) Answered(now time.Duration, r *api.BeatReply) (again *api.Beat) {
+	v.Merge(now, r.Peers)
+	if v.Digest() == r.Digest || len(r.Buckets) != buckets {
+		return nil
+	}
+	mask := uint64(0)
+	for i, d := range v.folded() {
+		if d != r.Buckets[i] {
+			mask |= 1 << i
+		}
+	}
+	if mask == 0 {
+		return nil
+	}
+	return &api.Beat{From: v.self, Digest: v.Digest(), Peers: v.in(mask), Want: mask}
+}
+
+// folded are the digests of the view's parts, in half the bytes.
+func (v *View) folded() []uint32 {
+	out := make([]uint32, buckets)
+	for i, d := range v.parts {
+		out[i] = uint32(d ^ d>>32)
+	}
+	return out
+}
+
 // newer tells whether a says more than b of the same process.
 func newer(a, b api.Peer) bool {
 	if a.Incarnation != b.Incarnation {
@@ -143,14 +303,18 @@
 
 // Watchers names whom a process sends its heartbeats to: on the ring, those
 // 1, 2, 4 and 8 places on, so that news takes few steps to all.
-func (v *View) Watchers(name string) []string {
-	i, n := slices.Index(v.ring, name), len(v.ring)
-	if i < 0 || n < 2 {
+func (v *View) Watchers(name string) []string { return v.along(name, 1) }
+
+// along names those 1, 2, 4 and 8 places from a process, onward or backward.
+func (v *View) along(name string, way int) []string {
+	i, ok := v.place(name)
+	n := len(v.ring)
+	if !ok || n < 2 {
 		return nil
 	}
 	var out []string
 	for k, step := 0, 1; k < watchersMost && step < n; k, step = k+1, step*2 {
-		out = append(out, v.ring[(i+step)%n])
+		out = append(out, v.ring[((i+way*step)%n+n)%n].name)
 	}
 	return out
 }
@@ -171,50 +335,51 @@
 func (v *View) Check(now time.Duration) (lost []string) {
 	still := v.beatAt != 0 && now-v.beatAt > stoodStill
 	v.beatAt = now
-	news := false
-	for name, r := range v.peers {
-		watched := slices.Contains(v.Watchers(name), v.self.Name)
-		if watched && !r.watched { // its beats come here only from now on
+	if still { // what was sent meanwhile was not heard
+		for _, r := range v.peers {
+			r.heardAt = max(r.heardAt, now)
+		}
+	}
+	watched := map[string]bool{}
+	for _, name := range v.along(v.self.Name, -1) {
+		r := v.peers[name]
+		if r == nil {
+			continue
+		}
+		if watched[name] = true; !v.watched[name] { // its beats come here only from now on
 			r.heardAt = now
 		}
-		r.watched = watched
-		switch {
-		case still:
-			r.heardAt = max(r.heardAt, now) // what was sent meanwhile was not heard
-		case r.State == Dead && now-r.deadAt > keepDead:
-			delete(v.peers, name)
-			news = true
-		case r.State != Dead && now-r.heardAt > deadAfter && watched:
-			r.State, r.deadAt = Dead, now
+		if now-r.heardAt > deadAfter {
 			lost = append(lost, name)
-			news = true
 		}
 	}
-	if news {
-		v.index()
+	v.watched = watched
+	for _, name := range lost {
+		p := v.peers[name].Peer
+		p.State = Dead
+		v.put(now, p)
 	}
-	slices.Sort(lost)
-	return lost
-}
-
-// index makes the ring and the digest anew.
-func (v *View) index() {
-	v.Changed++
-	v.ring, v.digest = v.ring[:0], hash(v.self)
-	if v.self.State != Dead {
-		v.ring = append(v.ring, v.self.Name)
-	}
-	for name, r := range v.peers {
-		v.digest ^= hash(r.Peer)
-		if r.State != Dead {
-			v.ring = append(v.ring, name)
+	if v.dead > 0 {
+		for name, r := range v.peers {
+			if r.State == Dead && now-r.deadAt > keepDead {
+				v.swap(&r.Peer, nil)
+				delete(v.peers, name)
+				v.dead--
+			}
 		}
 	}
-	slices.SortFunc(v.ring, func(a, b string) int {
-		return cmp.Or(cmp.Compare(xxhash.Sum64String(a), xxhash.Sum64String(b)), cmp.Compare(a, b))
-	})
+	slices.Sort(lost)
+	return lost
 }
 
 func hash(p api.Peer) uint64 {
-	return xxhash.Sum64String(fmt.Sprint(p.Name, p.Addr, p.Life, p.Incarnation, p.State))
+	h := xxhash.New()
+	h.WriteString(p.Name)
+	h.WriteString(p.Addr)
+	var b [17]byte
+	binary.BigEndian.PutUint64(b[:], p.Life)
+	binary.BigEndian.PutUint64(b[8:], p.Incarnation)
+	b[16] = p.State
+	h.Write(b[:])
+	return h.Sum64()
 }
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -9,7 +9,7 @@
 	"testing"
 	"time"
 
-	"example.org/silverscale/api"
+	"example.org/elmspan/api"
 )
 
 func peerOf(i int) api.Peer {
@@ -20,6 +20,7 @@
 type fleet struct {
 	views map[string]*View
 	now   time.Duration
+	peers int // told in all exchanges
 }
 
 func newFleet(n int) *fleet {
@@ -44,13 +45,10 @@
 				continue
 			}
 			messages++
-			o.Heard(f.now, v.Self())
-			for range 2 {
-				if o.Digest() == v.Digest() {
-					break
-				}
-				v.Merge(f.now, o.All())
-				o.Merge(f.now, v.All())
+			for b := v.Beat(f.now); b != nil; {
+				r := o.Answer(f.now, b)
+				f.peers += len(b.Peers) + len(r.Peers)
+				b = v.Answered(f.now, r)
 			}
 		}
 	}
@@ -83,6 +81,25 @@
 	}
 }
 
+// One change among many costs what changed: each exchange that carries it tells
+// of a few processes, not of all that there are.
+func TestAChangeIsToldInFewWords(t *testing.T) {
+	f := newFleet(300)
+	for !f.agree() {
+		f.round()
+	}
+	f.now += recentFor + time.Second // what was news then is none now
+	f.round()
+	f.views["n7"].Leave()
+	f.peers = 0
+	for !f.agree() {
+		f.round()
+	}
+	if per := float64(f.peers) / 300; per > 40 {
+		t.Errorf("each process told %.0f times of one, for one change", per)
+	}
+}
+
 // One that dies is known to be dead by all; one that is wrongly said to be dead
 // overrules it; one that starts again under its name takes its place.
 func TestDeathAndReturn(t *testing.T) {
@@ -123,6 +140,23 @@
 	}
 }
 
+// The long dead are forgotten by all, though not at the same moment.
+func TestTheDeadAreForgotten(t *testing.T) {
+	f := newFleet(8)
+	for !f.agree() {
+		f.round()
+	}
+	delete(f.views, "n5")
+	for end := f.now + keepDead + 10*time.Second; f.now < end; {
+		f.round()
+	}
+	for name, v := range f.views {
+		if _, known := v.Peer("n5"); known || v.dead != 0 {
+			t.Errorf("%s remembers it; %d dead", name, v.dead)
+		}
+	}
+}
+
 // Where a death changes the ring, those that get a new watcher by it live on:
 // it has not heard of them yet. (Seen on a day with a replaced machine: nine
 // living processes were declared dead.)
--- a/process/news.go
+++ b/process/news.go
@@ -2,33 +2,34 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"time"
 
-	"example.org/silverscale/api"
-	"example.org/silverscale/discovery"
-	"example.org/silverscale/internal/backoff"
+	"example.org/elmspan/api"
+	"example.org/elmspan/changes"
+	"example.org/elmspan/controlplane"
+	"example.org/elmspan/internal/backoff"
 )
 
 const (
-	watchWait    = time.Second // an answer without news
-	watchTimeout = watchWait + 1200*time.Millisecond
-	firstWait    = 40 * time.Millisecond // between two tries at a core that does not answer ...
-	longestWait  = 400 * time.Millisecond
-	urgentWait   = 120 * time.Millisecond
-	listEvery    = time.Second // the leader asks the platform
-	silentFor    = 2500 * time.Millisecond
-	busyPause    = 500 * time.Millisecond
-	ownEvery     = 3 * time.Second // a limiter that hears no leader asks for itself
+	watchWait  = 1500 * time.Millisecond // an answer without news
+	watchSpare = 600 * time.Millisecond  // ... comes this much later at the latest
+	// A member that did not answer in time is passed over, and the next is asked for
+	// a lease at once: within what is left of the lease each of the core can be asked.
+	urgentTimeout = 450 * time.Millisecond
+	fetchTimeout  = 2 * time.Second       // for a long difference, beyond that
+	firstWait     = 30 * time.Millisecond // between two tries at a core that does not answer ...
+	longestWait   = 400 * time.Millisecond
+	urgentWait    = 100 * time.Millisecond
 )
 
 // watch asks the core with the versions that are held here, and takes in what
 // it answers, until the context ends.
 func (p *Process) watch(ctx context.Context) {
 	pauses := backoff.New(firstWait, longestWait, rand.New(rand.NewPCG(p.seed, 1)))
+	failed := false
 	for ctx.Err() == nil {
-		if p.ask(ctx) {
+		if failed = !p.ask(ctx, failed); !failed {
 			pauses.Reset()
 			continue
 		}
@@ -40,118 +41,109 @@
 	}
 }
 
+// member is whom a process asks: the core in it, or one over the network.
+type member struct {
+	watch func(context.Context, *api.Watch) (*api.News, error)
+	fetch func(context.Context, *api.Fetch) (*api.Piece, error)
+}
+
+// whom returns the member to ask, and its address; "" is the core in this process.
+func (p *Process) whom() (m member, addr string, ok bool) {
+	if p.core != nil && !p.coreFailed {
+		return member{p.core.Watch, p.core.Fetch}, "", true
+	}
+	if addr = p.client.Helper(); addr == "" {
+		return m, "", false
+	}
+	conn, err := p.conns.To(addr)
+	if err != nil {
+		p.log.Debug("the core can't be called", "addr", addr, "err", err)
+		return m, addr, false
+	}
+	return member{func(ctx context.Context, q *api.Watch) (*api.News, error) { return api.CallWatch(ctx, conn, q) },
+		func(ctx context.Context, q *api.Fetch) (*api.Piece, error) { return api.CallFetch(ctx, conn, q) }}, addr, true
+}
+
+// passOver has another member asked next.
+func (p *Process) passOver(addr string) {
+	p.coreFailed = addr == "" && p.core != nil // the core in this process is tried every other time
+	p.client.HelperFailed(addr)
+}
+
 // ask asks once. It tells whether it was answered with a lease.
-func (p *Process) ask(ctx context.Context) bool {
+func (p *Process) ask(ctx context.Context, urgent bool) bool {
 	q := &api.Watch{Name: p.cfg.Load().Name, WaitMs: watchWait.Milliseconds()}
-	var asked time.Duration
+	asked, timeout := time.Since(p.start), watchWait+watchSpare
 	if g := p.gateway; g != nil {
 		q.Revision, q.Servers, asked = g.Revision(), g.Servers(), g.Since()
-		if !g.Leased() || q.Revision == 0 { // needed at once
-			q.WaitMs = 0
-		}
-	} else {
-		asked = time.Since(p.start)
+		urgent = urgent || !g.Leased() || q.Revision == 0
 	}
-	call, cancel := context.WithTimeout(ctx, watchTimeout)
-	defer cancel()
-	var n *api.News
-	var err error
-	addr := ""
-	if p.core != nil && p.core.Leads() {
-		n, err = p.core.Watch(call, q)
-	} else if addr = p.client.Next(); addr == "" {
+	if p.whole[api.ConfigTable] {
+		q.Revision = 0
+	}
+	if p.whole[api.ServerTable] {
+		q.Servers = 0
+	}
+	if urgent || p.whole[api.ConfigTable] || p.whole[api.ServerTable] {
+		q.WaitMs, timeout = 0, urgentTimeout
+	}
+	m, addr, ok := p.whom()
+	if !ok {
+		p.passOver(addr)
 		return false
-	} else if conn, dialErr := p.conns.To(addr); dialErr != nil {
-		err = dialErr
-	} else {
-		n, err = api.CallWatch(call, conn, q)
 	}
+	call, cancel := context.WithTimeout(ctx, timeout)
+	n, err := m.watch(call, q)
+	cancel()
 	if err != nil {
-		p.client.Failed(addr)
 		p.log.Debug("the core does not answer", "addr", addr, "err", err)
+		p.passOver(addr)
 		return false
 	}
 	p.client.Learn(n.Leader, n.Core)
 	if !n.Lease {
-		if n.Leader == addr {
-			p.client.Failed(addr)
-		}
+		p.passOver(addr)
 		return false
 	}
+	p.coreFailed = false
 	p.newsAt.Store(int64(time.Since(p.start)))
-	g := p.gateway
-	if g == nil {
+	if p.gateway == nil {
 		return true
 	}
-	if n.Config != nil {
-		c, err := api.ParseConfig(n.Config)
-		if err != nil {
-			p.log.Error("the core's configuration can't be read", "revision", n.Revision, "err", err)
-			return false
-		}
-		g.SetConfig(c)
-	}
-	if n.Listed {
-		g.SetServers(n.Servers, n.List)
+	if !p.take(ctx, m, n) {
+		return false
 	}
-	if g.Revision() >= n.Revision {
-		g.Grant(asked)
+	if p.gateway.Revision() >= n.Revision {
+		p.gateway.Grant(asked + time.Duration(n.HeldMs)*time.Millisecond)
 	}
 	return true
 }
 
-// duty is what decides whether a process asks the platform for its list now.
-type duty struct {
-	leads, asked  bool          // leads the core; has asked before
-	since, silent time.Duration // the last call; the core's last word
-	configured    bool          // carries traffic and has a configuration
-	limiters      int
-	perS          float64 // the platform's rate
-}
-
-// due: a leader asks at once, then at its pace. A limiter that hears no leader
-// asks for itself, the more seldom the more there are: all such together stay
-// within half of the platform's rate.
-func (d *duty) due() bool {
-	if d.leads {
-		return !d.asked || d.since >= listEvery
-	}
-	own := max(ownEvery, time.Duration(2*float64(d.limiters)/d.perS*float64(time.Second)))
-	return d.configured && d.silent > silentFor && (!d.asked || d.since >= own)
+// take takes in what is new.
+func (p *Process) take(ctx context.Context, m member, n *api.News) bool {
+	return p.table(ctx, m, api.ConfigTable, n.Config, func(r *changes.Reader) error { return p.gateway.ChangeConfig(r) }) &&
+		p.table(ctx, m, api.ServerTable, n.List, func(r *changes.Reader) error { return p.gateway.ChangeServers(r, n.ClockMs) })
 }
 
-// discover asks the platform for the servers: the leader for all, a limiter
-// for itself where it hears of no leader.
-func (p *Process) discover(ctx context.Context) {
-	rng := rand.New(rand.NewPCG(p.seed, 2))
-	last, asked := time.Duration(0), false
-	for ctx.Err() == nil {
-		if pause := listEvery / 4; asked || p.core == nil {
-			backoff.Sleep(ctx, pause)
-		} else {
-			backoff.Sleep(ctx, pause/8) // a new leader's first list is waited for
-		}
-		now := time.Since(p.start)
-		cfg := p.cfg.Load()
-		leads := p.core != nil && p.core.Leads()
-		d := duty{leads: leads, asked: asked, since: now - last, silent: now - time.Duration(p.newsAt.Load()),
-			configured: p.gateway != nil && p.gateway.Revision() != 0, limiters: int(p.peers.Load()), perS: cfg.Cloud.RatePerS}
-		if !d.due() {
-			continue
-		}
-		last, asked = now, true
-		list, err := discovery.List(ctx, cfg.Cloud.Address)
-		if errors.Is(err, discovery.ErrBusy) {
-			backoff.Sleep(ctx, busyPause+backoff.Spread(busyPause, rng))
-		}
-		if err != nil {
-			p.log.Warn("the platform's list was not had", "err", err)
-			continue
-		}
-		if leads {
-			p.core.SetServers(list)
-		} else {
-			p.gateway.SetServers(0, list)
-		}
+// table takes in the difference of one table. Where it does not fit what is held
+// here, the whole is asked for next time.
+func (p *Process) table(ctx context.Context, m member, table uint8, parcel *api.Parcel, take func(*changes.Reader) error) bool {
+	if parcel == nil {
+		return true
+	}
+	call, cancel := context.WithTimeout(ctx, fetchTimeout)
+	defer cancel()
+	data, err := controlplane.FetchParcel(call, parcel, m.fetch, table)
+	if err != nil {
+		p.log.Debug("a difference was not had", "table", table, "to", parcel.To, "err", err)
+		return false
+	}
+	r, err := changes.Open(data)
+	if err == nil {
+		err = take(r)
+	}
+	if p.whole[table] = err != nil; err != nil {
+		p.log.Warn("a difference does not fit what is held here: asking for the whole", "table", table, "from", parcel.From, "to", parcel.To, "err", err)
 	}
+	return err == nil
 }
--- a/process/process.go
+++ b/process/process.go
@@ -20,15 +20,15 @@
 	"github.com/cespare/xxhash/v2"
 	"google.golang.org/grpc"
 
-	"example.org/silverscale/agreement"
-	"example.org/silverscale/agreement/logstore"
-	"example.org/silverscale/api"
-	"example.org/silverscale/controlplane"
-	"example.org/silverscale/dataplane"
-	"example.org/silverscale/keys"
-	"example.org/silverscale/membership"
-	"example.org/silverscale/settings"
-	"example.org/silverscale/telemetry"
+	"example.org/elmspan/agreement"
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/api"
+	"example.org/elmspan/controlplane"
+	"example.org/elmspan/dataplane"
+	"example.org/elmspan/keys"
+	"example.org/elmspan/membership"
+	"example.org/elmspan/settings"
+	"example.org/elmspan/telemetry"
 )
 
 const (
@@ -73,6 +73,10 @@
 	peers     atomic.Int64 // limiters known
 	newsAt    atomic.Int64 // when the core last answered, since start
 	start     time.Time
+
+	// Of the goroutine that watches:
+	whole      [2]bool // tables of which the whole is asked for
+	coreFailed bool    // the core in this process could not answer
 }
 
 // New opens what the settings ask for.
@@ -91,7 +95,7 @@
 	}
 	p.conns = api.NewConns(p.ring)
 	p.cfg.Store(cfg)
-	p.client = &controlplane.Client{Conns: p.conns, Log: log}
+	p.client = &controlplane.Client{Conns: p.conns, Log: log, Name: cfg.Name}
 	p.client.Status = p.status
 	p.client.Learn("", cfg.SeedAddrs())
 	if err := p.open(cfg, seed); err != nil {
@@ -128,7 +132,7 @@
 		p.client.Local = p.core
 	}
 	if cfg.Serves("edge") {
-		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.Tune.Upstream, Keys: p.ring, Metrics: p.meter,
+		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.Tune.Upstream, Link: p.Tune.Link, Keys: p.ring, Metrics: p.meter,
 			Stranger: func(addr string) { p.members.Meet(addr) }}); err != nil {
 			return err
 		}
@@ -143,7 +147,7 @@
 	if p.core != nil {
 		api.RegisterControl(p.internal, p.core)
 	}
-	l, err := net.Listen("tcp", cfg.InternalAddr())
+	l, err := api.Listen(context.Background(), cfg.InternalAddr())
 	if err != nil {
 		return fmt.Errorf("internal_port_range: %w", err)
 	}
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -16,30 +16,40 @@
 
 	"github.com/fxamacker/cbor/v2"
 
-	"example.org/silverscale/api"
-	"example.org/silverscale/dataplane/h1"
-	"example.org/silverscale/settings"
+	"example.org/elmspan/api"
+	"example.org/elmspan/dataplane/h1"
+	"example.org/elmspan/settings"
 )
 
 const patience = 30 * time.Second
 
 // A leader asks the platform at once, whatever the age of its process, then at
-// its pace; a limiter asks for itself only when the core is silent, and the
-// more seldom the more of them there are. (docs/incidents/0003: a second without
-// servers after a start of all. Fails where the pause counts from the start.)
+// its pace, faster while servers come and go; a limiter asks for itself only when
+// the core has been silent for long, and the more seldom the more of them there
+// are. (docs/incidents/0003: a second without servers after a start of all. Fails
+// where the pause counts from the start.)
 func TestWhoAsksThePlatform(t *testing.T) {
+	calm := duty{asked: true, leads: true, changed: time.Hour, perS: 50}
+	with := func(of func(*duty)) duty {
+		d := calm
+		of(&d)
+		return d
+	}
+	alone := duty{since: time.Hour, silent: silentFor + 1, configured: true, limiters: 3, pages: 1, perS: 50}
 	for name, c := range map[string]struct {
 		d    duty
 		want bool
 	}{
-		"a new leader":             {duty{leads: true, since: 100 * time.Millisecond, perS: 50}, true},
-		"a leader soon after":      {duty{leads: true, asked: true, since: listEvery / 2, perS: 50}, false},
-		"a leader at its pace":     {duty{leads: true, asked: true, since: listEvery, perS: 50}, true},
-		"the core speaks":          {duty{since: time.Hour, silent: time.Second, configured: true, limiters: 3, perS: 50}, false},
-		"the core is silent":       {duty{since: time.Hour, silent: silentFor + 1, configured: true, limiters: 3, perS: 50}, true},
-		"it has asked just now":    {duty{asked: true, since: ownEvery - 1, silent: time.Hour, configured: true, limiters: 3, perS: 50}, false},
-		"with hundreds of others":  {duty{asked: true, since: ownEvery, silent: time.Hour, configured: true, limiters: 300, perS: 50}, false},
-		"nothing to be served yet": {duty{since: time.Hour, silent: time.Hour, limiters: 3, perS: 50}, false},
+		"a new leader":            {duty{leads: true, since: 100 * time.Millisecond, perS: 50}, true},
+		"a leader soon after":     {with(func(d *duty) { d.since = listEvery / 2 }), false},
+		"a leader at its pace":    {with(func(d *duty) { d.since = listEvery }), true},
+		"while servers change":    {with(func(d *duty) { d.since, d.changed = busyEvery, time.Second }), true},
+		"a server is missing":     {with(func(d *duty) { d.since, d.doubt = doubtIn, true }), true},
+		"the core speaks":         {duty{since: time.Hour, silent: time.Second, configured: true, limiters: 3, perS: 50}, false},
+		"the core is silent":      {alone, true},
+		"it has asked just now":   {duty{asked: true, since: ownEvery - 1, silent: time.Hour, configured: true, limiters: 3, perS: 50}, false},
+		"with hundreds of others": {duty{asked: true, since: ownEvery, silent: time.Hour, configured: true, limiters: 300, pages: 6, perS: 50}, false},
+		"nothing to serve yet":    {duty{since: time.Hour, silent: time.Hour, limiters: 3, perS: 50}, false},
 	} {
 		if got := c.d.due(); got != c.want {
 			t.Errorf("%s: %v", name, got)
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -16,7 +16,8 @@
 	Seed     uint64    `toml:"seed"`
 	LengthS  float64   `toml:"length_s"`
 	Zones    []string  `toml:"zones"`
-	PerZone  int       `toml:"machines_per_zone"` // the first one of each of three zones is a core machine
+	PerZone  int       `toml:"machines_per_zone"`   // the first one of each of three zones is a core machine
+	Clients  int       `toml:"clients_per_machine"` // of the simulation; 0: 40
 	Services []Service `toml:"services"`
 	Classes  []Class   `toml:"classes"`
 	Tenants  []Tenant  `toml:"tenants"`
@@ -39,6 +40,9 @@
 	ZoneMs    float64 `toml:"zone_ms"`    // one way, within a zone
 	CrossMs   float64 `toml:"cross_ms"`   // ... between zones
 	WordsLoss float64 `toml:"words_loss"` // share of datagrams that are lost
+	// Of a machine: what bounds the words of a large fleet; 0: nothing does.
+	LinkMbps float64 `toml:"link_mbps"`
+	CPUShare float64 `toml:"cpu_share"`
 }
 
 // Service is a kind of servers.
--- a/settings/settings.go
+++ b/settings/settings.go
@@ -53,6 +53,7 @@
 	MemoryMB int64   `toml:"memory_mb"`
 	MaxFDs   int     `toml:"max_fds"`
 	DiskMB   int64   `toml:"disk_mb"`
+	LinkMbps float64 `toml:"link_speed_mbps"`
 }
 
 // Tolerance is what may be lost at once with all rules kept.
@@ -187,7 +188,7 @@
 	if n.Cloud.RatePerS <= 0 {
 		fault("cloud_api.rate_per_s", "%v: must be above 0", n.Cloud.RatePerS)
 	}
-	if l := n.Limits; l.CPUShare < 0 || l.MemoryMB < 0 || l.DiskMB < 0 || l.MaxFDs < 0 || l.MaxFDs > 0 && l.MaxFDs < 300 {
+	if l := n.Limits; l.CPUShare < 0 || l.MemoryMB < 0 || l.DiskMB < 0 || l.MaxFDs < 0 || !(l.LinkMbps >= 0) || l.MaxFDs > 0 && l.MaxFDs < 300 {
 		fault("request_limits", "%+v can't hold a limiter", l)
 	}
 	if n.Tolerance.Machines < 0 || n.Tolerance.Machines > 10 {
--- /dev/null
+++ b/settings/tree_test.go
@@ -0,0 +1,45 @@
+package settings
+
+import (
+	"io/fs"
+	"os"
+	"path/filepath"
+	"regexp"
+	"slices"
+	"strings"
+	"testing"
+)
+
+// The tree at the head of docs/design.md names every folder with Go source, and
+// no other.
+func TestTreeOfTheDesignIsTrue(t *testing.T) {
+	page, err := os.ReadFile("../docs/design.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	head, _, _ := strings.Cut(string(page), "\n## ")
+	var named, found []string
+	for _, m := range regexp.MustCompile(`(?m)^    ([a-z0-9/-]+) +\S`).FindAllStringSubmatch(head, -1) {
+		named = append(named, m[1])
+	}
+	err = filepath.WalkDir("..", func(path string, d fs.DirEntry, err error) error {
+		switch {
+		case err != nil:
+			return err
+		case d.IsDir() && (strings.HasPrefix(d.Name(), ".") && path != ".." || d.Name() == "target" || d.Name() == "journal" || d.Name() == "testdata"):
+			return fs.SkipDir
+		case strings.HasSuffix(path, ".go"):
+			found = append(found, filepath.ToSlash(filepath.Dir(strings.TrimPrefix(path, "../"))))
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	slices.Sort(found)
+	found = slices.Compact(found)
+	slices.Sort(named)
+	if !slices.Equal(named, found) {
+		t.Errorf("docs/design.md names\n%v\nthere are\n%v", named, found)
+	}
+}
--- a/settings/tuning.go
+++ b/settings/tuning.go
@@ -12,6 +12,8 @@
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"example.org/elmspan/dataplane/words"
 )
 
 // TuningEnv is the variable that may hold the path of the tuning file.
@@ -26,6 +28,7 @@
 	Metrics  MetricsTuning `toml:"metrics"`
 	TLS      TLSTuning     `toml:"tls"`
 	Upstream ServerTuning  `toml:"upstream"`
+	Link     LinkTuning    `toml:"link"`
 }
 
 // LogTuning is how a process logs.
@@ -51,6 +54,22 @@
 	IdleS     float64 `toml:"idle_s" default:"7" takes:"0.1..600" doc:"How long an idle connection is kept where the server says nothing in Keep-Alive."`
 }
 
+// LinkTuning is how the machine's link and processor are shared.
+type LinkTuning struct {
+	Fill  float64 `toml:"fill" default:"0.94" takes:"0.1..1" doc:"Part of the machine's link (link_speed_mbps) that long bodies may fill, with all else that is written."`
+	Words float64 `toml:"words" default:"0.012" takes:"0.001..1" doc:"Part of the machine's link that words to other limiters may use."`
+	Work  float64 `toml:"work" default:"0.02" takes:"0.001..1" doc:"Part of the machine's processor (cpu_share) that sending words to other limiters may use."`
+}
+
+// wordMs is about how long a processor needs to make and send a word.
+const wordMs = 0.01
+
+// Budget is what words may use of a machine with a link of so many Mbit/s and a
+// share of a processor.
+func (t *LinkTuning) Budget(linkMbps, cpuShare float64) words.Budget {
+	return words.Budget{BytesPerS: linkMbps * 1e6 / 8 * t.Words, WordsPerS: cpuShare * 1000 / wordMs * t.Work}
+}
+
 // Connect and Idle are the times as durations.
 func (t *ServerTuning) Connect() time.Duration { return Millis(t.ConnectMs) }
 
--- a/simulation/client.go
+++ b/simulation/client.go
@@ -1,13 +1,14 @@
 package simulation
 
 import (
+	"cmp"
 	"fmt"
 	"time"
 
 	"github.com/cespare/xxhash/v2"
 
-	"example.org/silverscale/judge"
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/judge"
+	"example.org/elmspan/scenario"
 )
 
 // request is one request of a client, with its further tries.
@@ -37,7 +38,7 @@
 				}
 				f.asked++
 				f.open++
-				r := &request{f: f, class: c, tenant: t, zone: f.day.Zones[f.rng.IntN(len(f.day.Zones))], client: f.rng.IntN(clients * f.day.PerZone),
+				r := &request{f: f, class: c, tenant: t, zone: f.day.Zones[f.rng.IntN(len(f.day.Zones))], client: f.rng.IntN(cmp.Or(f.day.Clients, clients) * f.day.PerZone),
 					n: f.asked, begun: f.engine.now, deadline: f.engine.now + c.DeadlineMs}
 				r.try()
 				next()
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -11,10 +11,10 @@
 
 	"github.com/cespare/xxhash/v2"
 
-	"example.org/silverscale/api"
-	"example.org/silverscale/dataplane/quota"
-	"example.org/silverscale/judge"
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/api"
+	"example.org/elmspan/dataplane/quota"
+	"example.org/elmspan/judge"
+	"example.org/elmspan/scenario"
 )
 
 const (
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -6,14 +6,15 @@
 	"slices"
 	"time"
 
-	"example.org/silverscale/api"
-	"example.org/silverscale/dataplane/balance"
-	"example.org/silverscale/dataplane/limiter"
-	"example.org/silverscale/dataplane/quota"
-	"example.org/silverscale/dataplane/words"
-	"example.org/silverscale/judge"
-	"example.org/silverscale/membership"
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/api"
+	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/dataplane/limiter"
+	"example.org/elmspan/dataplane/quota"
+	"example.org/elmspan/dataplane/words"
+	"example.org/elmspan/judge"
+	"example.org/elmspan/membership"
+	"example.org/elmspan/scenario"
+	"example.org/elmspan/settings"
 )
 
 const (
@@ -53,7 +54,8 @@
 	f := n.f
 	n.life++
 	p, err := newPolicy(f.policy, limiter.Config{Self: n.id, Life: n.life<<32 | n.id>>32, Zone: n.zone, Seed: f.rng.Uint64(),
-		RetryRatio: f.day.Retries.Ratio, RetrySlack: f.day.Retries.Slack})
+		RetryRatio: f.day.Retries.Ratio, RetrySlack: f.day.Retries.Slack,
+		Words: settings.DefaultTuning().Link.Budget(f.day.Network.LinkMbps, f.day.Network.CPUShare)})
 	if err != nil {
 		return err
 	}
@@ -69,7 +71,7 @@
 		if !n.stands() {
 			n.policy.Tick(n.clock(), n.tell)
 		}
-		f.engine.after(words.TickMs, tick)
+		f.engine.after(n.policy.TickMs(), tick)
 	}
 	beat = func() {
 		if n.life != life || !n.up {
@@ -122,7 +124,7 @@
 		o.whenAwake(func() {
 			if !o.policy.Hear(o.clock(), &got) && f.engine.now-o.met >= meetMs {
 				o.met = f.engine.now
-				o.exchange(n, &api.Beat{From: o.view.Self(), Digest: o.view.Digest()}, 2)
+				o.exchange(n, o.view.Beat(o.at()))
 			}
 		})
 	})
@@ -157,14 +159,14 @@
 	}
 	for _, name := range to {
 		if o := f.byName[name]; o != nil && o != n {
-			n.exchange(o, &api.Beat{From: n.view.Self(), Digest: n.view.Digest()}, 2)
+			n.exchange(o, n.view.Beat(n.at()))
 		}
 	}
 	n.news()
 }
 
-// exchange sends a heartbeat and, where the views differ, all that is known.
-func (n *node) exchange(o *node, b *api.Beat, rounds int) {
+// exchange sends a heartbeat, and a second round where the views differ.
+func (n *node) exchange(o *node, b *api.Beat) {
 	f, life := n.f, n.life
 	n.beats++
 	if f.cutOff(n, o) {
@@ -175,21 +177,16 @@
 			return
 		}
 		o.whenAwake(func() {
-			o.view.Heard(o.at(), b.From)
-			o.view.Merge(o.at(), b.Peers)
+			r := o.view.Answer(o.at(), b)
 			o.news()
-			r := &api.BeatReply{Digest: o.view.Digest()}
-			if r.Digest != b.Digest {
-				r.Peers = o.view.All()
-			}
 			f.engine.after(f.delay(n.zone, o.zone), func() {
 				if !n.up || n.life != life || f.cutOff(n, o) {
 					return
 				}
-				n.view.Merge(n.at(), r.Peers)
+				again := n.view.Answered(n.at(), r)
 				n.news()
-				if rounds > 1 && n.view.Digest() != r.Digest {
-					n.exchange(o, &api.Beat{From: n.view.Self(), Digest: n.view.Digest(), Peers: n.view.All()}, rounds-1)
+				if again != nil {
+					n.exchange(o, again)
 				}
 			})
 		})
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -6,12 +6,12 @@
 	"math/rand/v2"
 	"slices"
 
-	"example.org/silverscale/api"
-	"example.org/silverscale/bucket"
-	"example.org/silverscale/dataplane/balance"
-	"example.org/silverscale/dataplane/limiter"
-	"example.org/silverscale/dataplane/quota"
-	"example.org/silverscale/dataplane/words"
+	"example.org/elmspan/api"
+	"example.org/elmspan/bucket"
+	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/dataplane/limiter"
+	"example.org/elmspan/dataplane/quota"
+	"example.org/elmspan/dataplane/words"
 )
 
 // policy decides for one limiter. The gateway's own is [limiter.Limiter]; the
@@ -21,6 +21,7 @@
 	Servers(now float64, list []api.Server)
 	Peers(now float64, peers []quota.Member)
 	Admit(now float64, tenant uint64) (waitMs float64, ok bool)
+	TickMs() float64
 	Tick(now float64, send func(to uint64, w *words.Word))
 	Hear(now float64, w *words.Word) (known bool)
 	Targets() int
@@ -138,6 +139,7 @@
 func (p *plainPolicy) Tick(float64, func(uint64, *words.Word))      {}
 func (p *plainPolicy) Hear(float64, *words.Word) bool               { return true }
 func (p *plainPolicy) Targets() int                                 { return 0 }
+func (p *plainPolicy) TickMs() float64                              { return 100 }
 
 // Peers fixes the share at the first fleet that is known.
 func (p *plainPolicy) Peers(_ float64, peers []quota.Member) {
--- a/simulation/server.go
+++ b/simulation/server.go
@@ -1,10 +1,10 @@
 package simulation
 
 import (
-	"example.org/silverscale/api"
-	"example.org/silverscale/dataplane/balance"
-	"example.org/silverscale/judge"
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/api"
+	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/judge"
+	"example.org/elmspan/scenario"
 )
 
 // server is one life of a server: so many slots, a queue, and no more. Its
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -6,7 +6,7 @@
 	"errors"
 	"testing"
 
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/scenario"
 )
 
 func day(t *testing.T) *scenario.Day {
--- a/simulation/trouble.go
+++ b/simulation/trouble.go
@@ -1,8 +1,8 @@
 package simulation
 
 import (
-	"example.org/silverscale/judge"
-	"example.org/silverscale/scenario"
+	"example.org/elmspan/judge"
+	"example.org/elmspan/scenario"
 )
 
 // strike has a trouble happen.
