History, rollback, export and restore of what the core agrees on

Until now the loss of most of the core's disks ended with a new system and whatever configuration somebody had kept. `state export` writes all that is agreed on, confirmed by a majority, to one file with format and checksum; `state import` begins a lost core from it on empty folders; `state check` reads a folder or an export offline.

Tests: all disks lost and restored, every acknowledged version served again; each byte of an export changed is refused.

--- a/api/rpc.go
+++ b/api/rpc.go
@@ -126,6 +126,16 @@
 	Why    string `cbor:"2,keyasint,omitempty"`
 	Leader string `cbor:"3,keyasint,omitempty"`
 	Config []byte `cbor:"4,keyasint,omitempty"`
+	// Versions answers a Read that asks for them, the newest last.
+	Versions []uint64 `cbor:"5,keyasint,omitempty"`
+}
+
+// Read asks for the newest configuration, or for one before it, or for which
+// versions are remembered, or for all that the core agrees on.
+type Read struct {
+	Revision uint64 `cbor:"1,keyasint,omitempty"` // 0: the newest
+	Versions bool   `cbor:"2,keyasint,omitempty"`
+	State    bool   `cbor:"3,keyasint,omitempty"` // in Result.Config, as [controlplane.Export] writes it
 }
 
 // Join asks to become a member of the agreement.
@@ -176,7 +186,7 @@
 type Control interface {
 	Watch(context.Context, *Watch) (*News, error)
 	Replace(context.Context, *Replace) (*Result, error)
-	Get(context.Context, *None) (*Result, error)
+	Get(context.Context, *Read) (*Result, error)
 	Join(context.Context, *Join) (*Result, error)
 	Deliver(context.Context, *Deliver) (*None, error)
 	Fetch(context.Context, *Fetch) (*Piece, error)
@@ -270,8 +280,8 @@
 }
 
 // CallGet calls Get.
-func CallGet(ctx context.Context, c *grpc.ClientConn) (*Result, error) {
-	return invoke[Result](ctx, c, "/"+controlService+"/Get", &None{})
+func CallGet(ctx context.Context, c *grpc.ClientConn, q *Read) (*Result, error) {
+	return invoke[Result](ctx, c, "/"+controlService+"/Get", q)
 }
 
 // CallJoin calls Join.
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -31,6 +31,7 @@
 	Gateway gatewayCmd `cmd:"" help:"Run one process of the system, as its settings file says."`
 	Check   checkCmd   `cmd:"" help:"Check files: node settings, tuning and fleets (.toml), configurations (.cbor, .json). Names each fault in a line."`
 	Config  configCmd  `cmd:"" help:"Read, bring or compare the configuration of a running system."`
+	State   stateCmd   `cmd:"" help:"Export what the core agrees on, begin a lost core from it, and look into a data folder."`
 	Status  statusCmd  `cmd:"" help:"Show what a running process knows."`
 	Emulate emulateCmd `cmd:"" help:"Start a fleet on loopback with stand-ins of all it meets, play a day and report. Example: elmspan emulate docs/fleet.toml"`
 	Keys    keysCmd    `cmd:"" help:"Make and change the keys by which the system's own processes know each other."`
--- /dev/null
+++ b/cmd/elmspan/state.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"net/http"
+	"os"
+	"path/filepath"
+
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/controlplane"
+	"example.org/elmspan/settings"
+)
+
+type stateCmd struct {
+	Export stateExport `cmd:"" help:"Write all that the core agrees on to one file, which a lost core can be begun from again."`
+	Import stateImport `cmd:"" help:"Begin a lost core from an export: on each seed machine, with the system stopped and its data folder empty."`
+	Check  stateCheck  `cmd:"" help:"Read a data folder or an export and say what is in it. The process must not be running."`
+}
+
+type stateExport struct {
+	Control string `help:"A control_port address of the running system." placeholder:"HOST:PORT" xor:"from" required:""`
+	Data    string `help:"Or the data folder of a member that does not run." type:"existingdir" xor:"from" required:""`
+	Out     string `arg:"" help:"The file to write. It holds keys."`
+}
+
+// Run writes an export.
+func (c *stateExport) Run() error {
+	var data []byte
+	var err error
+	if c.Control != "" {
+		data, err = call(http.MethodGet, c.Control, "/v1/State.Export", nil, nil)
+	} else {
+		err = withStore(c.Data, func(s *logstore.Store) error {
+			_, _, state, err := controlplane.Inspect(s)
+			if err == nil {
+				data, err = controlplane.Export(state)
+			}
+			return err
+		})
+	}
+	if err != nil {
+		return err
+	}
+	state, err := controlplane.Import(data)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(c.Out, data, 0o600); err != nil {
+		return err
+	}
+	fmt.Printf("%s: revision %d, %d versions\n", c.Out, state.Revision, len(state.Versions()))
+	return nil
+}
+
+type stateImport struct {
+	File     string `arg:"" help:"The export." type:"existingfile"`
+	Settings string `help:"The machine's settings file: it names the data folder and the seeds." env:"ELMSPAN_NODE_FILE" required:"" placeholder:"FILE"`
+}
+
+// Run begins a member from an export.
+func (c *stateImport) Run() error {
+	node, err := settings.Read(c.Settings)
+	if err != nil {
+		return err
+	}
+	if !node.Core() {
+		return fmt.Errorf("%s: this machine is none of the core: quorum_member, data_dir and control are needed", c.Settings)
+	}
+	data, err := os.ReadFile(c.File)
+	if err != nil {
+		return err
+	}
+	state, err := controlplane.Import(data)
+	if err != nil {
+		return fmt.Errorf("%s: %w", c.File, err)
+	}
+	err = withStore(node.DataDir, func(s *logstore.Store) error {
+		return controlplane.Restore(s, node.InternalAddr(), node.SeedAddrs(), state)
+	})
+	if err == nil {
+		fmt.Printf("%s begins with revision %d; do the same on each of %v, then start them with bootstrap = false\n", node.Name, state.Revision, node.SeedAddrs())
+	}
+	return err
+}
+
+type stateCheck struct {
+	Path string `arg:"" help:"A data folder, or an export." type:"path"`
+}
+
+// Run says what is there.
+func (c *stateCheck) Run() error {
+	info, err := os.Stat(c.Path)
+	if err != nil {
+		return err
+	}
+	if !info.IsDir() {
+		data, err := os.ReadFile(c.Path)
+		if err != nil {
+			return err
+		}
+		state, err := controlplane.Import(data)
+		if err == nil {
+			describe(state)
+		}
+		return err
+	}
+	return withStore(c.Path, func(s *logstore.Store) error {
+		id, st, state, err := controlplane.Inspect(s)
+		if err != nil {
+			return err
+		}
+		fmt.Printf("member      %x\nterm        %d\nsnapshot    up to %d\nlog         %d entries, up to %d\n", uint64(id), st.Hard.Term, st.Snapshot.Index,
+			len(st.Entries), st.Snapshot.Index+uint64(len(st.Entries)))
+		for _, m := range st.Snapshot.Members {
+			fmt.Printf("voter %-5v %x at %s\n", m.Voter, uint64(m.ID), m.Addr)
+		}
+		describe(state)
+		return nil
+	})
+}
+
+func describe(s *controlplane.State) {
+	fmt.Printf("revision    %d\nversions    %v\n", s.Revision, s.Versions())
+}
+
+// withStore opens the log in a data folder.
+func withStore(dir string, do func(*logstore.Store) error) error {
+	s, err := logstore.Open(filepath.Join(dir, "log"))
+	if err != nil {
+		return err
+	}
+	return errors.Join(do(s), s.Close())
+}
--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -147,9 +147,12 @@
 		})
 }
 
-// Get reads the newest configuration.
-func (c *Client) Get(ctx context.Context) api.Result {
-	return c.toLeader(ctx, func(l *Core) (*api.Result, error) { return l.Get(ctx, &api.None{}) }, api.CallGet)
+// Get reads what the core agrees on.
+func (c *Client) Get(ctx context.Context, q *api.Read) api.Result {
+	return c.toLeader(ctx, func(l *Core) (*api.Result, error) { return l.Get(ctx, q) },
+		func(ctx context.Context, conn *grpc.ClientConn) (*api.Result, error) {
+			return api.CallGet(ctx, conn, q)
+		})
 }
 
 // Handler returns the operator's interface.
@@ -188,7 +191,22 @@
 		e.SetIndent("", "  ")
 		e.Encode(v) // a caller that is gone needs no answer
 	})
-	mux.HandleFunc("GET /v1/Config.Get", func(w http.ResponseWriter, r *http.Request) { c.answer(w, r, c.Get) })
+	read := func(w http.ResponseWriter, r *http.Request, q *api.Read) {
+		c.answer(w, r, func(ctx context.Context) api.Result { return c.Get(ctx, q) })
+	}
+	mux.HandleFunc("GET /v1/Config.Get", func(w http.ResponseWriter, r *http.Request) {
+		q := &api.Read{}
+		if text := r.URL.Query().Get("revision"); text != "" {
+			var err error
+			if q.Revision, err = strconv.ParseUint(text, 10, 64); err != nil || q.Revision == 0 {
+				http.Error(w, "revision: a version's number is needed", http.StatusBadRequest)
+				return
+			}
+		}
+		read(w, r, q)
+	})
+	mux.HandleFunc("GET /v1/Config.History", func(w http.ResponseWriter, r *http.Request) { read(w, r, &api.Read{Versions: true}) })
+	mux.HandleFunc("GET /v1/State.Export", func(w http.ResponseWriter, r *http.Request) { read(w, r, &api.Read{State: true}) })
 	return mux
 }
 
@@ -198,6 +216,9 @@
 	res := call(ctx)
 	c.Log.Info("operator", "call", r.URL.Path, "base", r.Header.Get("Base-Revision"), "status", res.Status, "why", res.Why)
 	switch {
+	case res.Status == http.StatusOK && res.Versions != nil:
+		w.Header().Set("Content-Type", "application/json")
+		json.NewEncoder(w).Encode(res.Versions) // a caller that is gone needs no answer
 	case res.Status == http.StatusOK:
 		if res.Config != nil {
 			w.Header().Set("Content-Type", "application/cbor")
--- a/controlplane/core_test.go
+++ b/controlplane/core_test.go
@@ -161,7 +161,7 @@
 	}
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
-	if r := cl.Get(ctx); r.Status != 200 || string(r.Config) != string(config(t, 10)) {
+	if r := cl.Get(ctx, &api.Read{}); r.Status != 200 || string(r.Config) != string(config(t, 10)) {
 		t.Errorf("read back: %d", r.Status)
 	}
 }
--- /dev/null
+++ b/controlplane/export_test.go
@@ -0,0 +1,201 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"testing"
+
+	"github.com/fxamacker/cbor/v2"
+
+	"example.org/elmspan/agreement"
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/api"
+)
+
+// The versions before the newest are read back as they were sent, and may be
+// brought again under a new number; how many are remembered is bounded.
+func TestHistory(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	cl := c.client()
+	for i := range uint64(4) {
+		if got := replace(cl, i, config(t, i+1)); got != http.StatusOK {
+			t.Fatalf("revision %d: %d", i+1, got)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	if r := cl.Get(ctx, &api.Read{Versions: true}); !slices.Equal(r.Versions, []uint64{1, 2, 3, 4}) {
+		t.Errorf("%+v", r)
+	}
+	if r := cl.Get(ctx, &api.Read{Revision: 2}); r.Status != http.StatusOK || string(r.Config) != string(config(t, 2)) {
+		t.Errorf("revision 2: %d", r.Status)
+	}
+	if r := cl.Get(ctx, &api.Read{Revision: 9}); r.Status != http.StatusNotFound || !strings.Contains(r.Why, "[1 2 3 4]") {
+		t.Errorf("revision 9: %d %s", r.Status, r.Why)
+	}
+	var s State
+	for i := range uint64(200) {
+		data, err := newProposal(i, i+1, fmt.Append(nil, strings.Repeat("x", int(i)), i))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s.Apply(data)
+	}
+	if len(s.Past) > mostPast || len(s.Past) < mostPast-1 {
+		t.Errorf("%d versions are remembered", len(s.Past))
+	}
+}
+
+// All disks of the core are lost; from an export a core begins anew in which every
+// acknowledged configuration is served.
+func TestRestore(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t)
+	cl := c.client()
+	for i := range uint64(3) {
+		if got := replace(cl, i, config(t, i+1)); got != http.StatusOK {
+			t.Fatalf("revision %d: %d", i+1, got)
+		}
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	defer cancel()
+	export := cl.Get(ctx, &api.Read{State: true})
+	if export.Status != http.StatusOK {
+		t.Fatalf("%+v", export)
+	}
+	for _, stop := range c.stops {
+		stop()
+	}
+	state, err := Import(export.Config)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, a := range c.addrs {
+		dir := t.TempDir()
+		store, err := logstore.Open(dir)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if err := errors.Join(Restore(store, a, c.addrs, state), store.Close()); err != nil {
+			t.Fatal(err)
+		}
+		var l net.Listener
+		c.until("the address is free", func() (ok bool) {
+			var err error
+			l, err = net.Listen("tcp", a)
+			return err == nil
+		})
+		c.start(a, dir, l, false)
+	}
+	cl = c.client()
+	for i := range uint64(3) {
+		if r := cl.Get(ctx, &api.Read{Revision: i + 1}); r.Status != http.StatusOK || string(r.Config) != string(config(t, i+1)) {
+			t.Errorf("revision %d after the restore: %d %s", i+1, r.Status, r.Why)
+		}
+	}
+	if got := replace(cl, 2, config(t, 3)); got != http.StatusOK {
+		t.Errorf("a call that was acknowledged, sent again: %d", got)
+	}
+	if got := replace(cl, 3, config(t, 4)); got != http.StatusOK {
+		t.Errorf("a change after the restore: %d", got)
+	}
+}
+
+// What is no whole export, or would be put where something is, is refused.
+func TestRestoreRefuses(t *testing.T) {
+	var s State
+	data, err := newProposal(0, 3, config(t, 3))
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Apply(data)
+	whole, err := Export(&s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		bad := slices.Clone(whole)
+		bad[i] ^= 1
+		if _, err := Import(bad); err == nil {
+			t.Fatalf("byte %d of %d changed, and it is taken", i, len(whole))
+		}
+	}
+	if _, err := Import(whole[:len(whole)-1]); !errors.Is(err, ErrExport) {
+		t.Errorf("a part of it: %v", err)
+	}
+	store, err := logstore.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	if Restore(store, "10.0.0.9:1", []string{"10.0.0.1:1"}, &s) == nil {
+		t.Error("restored at a machine that is no seed")
+	}
+	if err := Restore(store, "10.0.0.1:1", []string{"10.0.0.1:1"}, &s); err != nil {
+		t.Fatal(err)
+	}
+	if Restore(store, "10.0.0.1:1", []string{"10.0.0.1:1"}, &s) == nil {
+		t.Error("restored over a state")
+	}
+	if _, _, got, err := Inspect(store); err != nil || got.Revision != 3 {
+		t.Errorf("%+v, %v", got, err)
+	}
+}
+
+// A log and a snapshot in the first format, with configurations as they were sent,
+// are read; what is written on top of them is in the newest.
+func TestFirstFormatIsRead(t *testing.T) {
+	old := func(base, revision uint64) []byte {
+		data, err := cbor.Marshal(struct {
+			Base     uint64 `cbor:"1,keyasint"`
+			Revision uint64 `cbor:"2,keyasint"`
+			Config   []byte `cbor:"3,keyasint"`
+		}{base, revision, config(t, revision)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		return data
+	}
+	snapshot, err := cbor.Marshal(struct {
+		Revision uint64 `cbor:"1,keyasint"`
+		Config   []byte `cbor:"2,keyasint"`
+	}{4, config(t, 4)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	dir := filepath.Join(t.TempDir(), "log")
+	if err := os.Mkdir(dir, 0o755); err != nil {
+		t.Fatal(err)
+	}
+	store, err := logstore.Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer store.Close()
+	if err := errors.Join(store.Begin(7, agreement.Snapshot{Index: 3, Term: 2, Data: snapshot}),
+		store.Save(agreement.Ready{Hard: &agreement.HardState{Term: 2}, Entries: []agreement.Entry{{Index: 4, Term: 2, Data: old(4, 6)}}})); err != nil {
+		t.Fatal(err)
+	}
+	_, _, s, err := Inspect(store)
+	if err != nil || s.Revision != 6 {
+		t.Fatalf("%+v, %v", s, err)
+	}
+	next, err := newProposal(6, 8, config(t, 8))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r := s.Apply(next); r.Status != http.StatusOK {
+		t.Fatalf("%+v", r)
+	}
+	if got, err := s.Config(); err != nil || string(got) != string(config(t, 8)) || s.Plain != nil {
+		t.Errorf("%d bytes, %v", len(got), err)
+	}
+}
--- a/controlplane/serve.go
+++ b/controlplane/serve.go
@@ -27,8 +27,8 @@
 	return &r, nil
 }
 
-// Get reads the newest configuration, as of after the call.
-func (c *Core) Get(ctx context.Context, _ *api.None) (*api.Result, error) {
+// Get reads what the core agrees on, as of after the call.
+func (c *Core) Get(ctx context.Context, q *api.Read) (*api.Result, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	r := c.call(ctx, &pending{get: true})
@@ -36,7 +36,20 @@
 		return &r, nil
 	}
 	var err error
-	if r.Config, err = c.state.Config(); err != nil {
+	switch {
+	case q.Versions:
+		r.Versions = c.state.Versions()
+	case q.State:
+		r.Config, err = Export(&c.state)
+	case q.Revision != 0:
+		var known bool
+		if r.Config, known, err = c.state.Version(q.Revision); err == nil && !known {
+			return &api.Result{Status: http.StatusNotFound, Why: fmt.Sprintf("revision %d is not remembered; there are %v", q.Revision, c.state.Versions())}, nil
+		}
+	default:
+		r.Config, err = c.state.Config()
+	}
+	if err != nil {
 		return nil, err
 	}
 	return &r, nil
--- a/controlplane/state.go
+++ b/controlplane/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/http"
+	"slices"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/fxamacker/cbor/v2"
@@ -11,8 +12,13 @@
 	"example.org/elmspan/internal/pack"
 )
 
-// mostTaken is how many versions are remembered, for calls that come again.
-const mostTaken = 128
+const (
+	// mostTaken is how many versions are remembered, for calls that come again.
+	mostTaken = 128
+	// Of versions before the newest, so many are kept whole, in so many bytes.
+	mostPast      = 32
+	mostPastBytes = 512 << 10
+)
 
 // State is what the members agree on: the newest configuration, as it was
 // sent, and which ones were taken before.
@@ -21,6 +27,13 @@
 	Plain    []byte  `cbor:"2,keyasint,omitempty"` // the configuration, as the first format had it
 	Taken    []taken `cbor:"3,keyasint,omitempty"` // oldest first
 	Packed   []byte  `cbor:"4,keyasint,omitempty"` // the configuration, packed: an eighth of its size
+	Past     []past  `cbor:"5,keyasint,omitempty"` // oldest first
+}
+
+// past is a version that was replaced.
+type past struct {
+	Revision uint64 `cbor:"1,keyasint"`
+	Packed   []byte `cbor:"2,keyasint"`
 }
 
 type taken struct {
@@ -55,6 +68,47 @@
 	return pack.Unpack(s.Packed, api.MaxConfig)
 }
 
+// Version returns a configuration that is remembered, as it was sent.
+func (s *State) Version(revision uint64) ([]byte, bool, error) {
+	if revision == s.Revision {
+		data, err := s.Config()
+		return data, err == nil, err
+	}
+	for _, p := range s.Past {
+		if p.Revision == revision {
+			data, err := pack.Unpack(p.Packed, api.MaxConfig)
+			return data, err == nil, err
+		}
+	}
+	return nil, false, nil
+}
+
+// Versions lists what is remembered whole, the newest last.
+func (s *State) Versions() (out []uint64) {
+	for _, p := range s.Past {
+		out = append(out, p.Revision)
+	}
+	if s.Revision != 0 {
+		out = append(out, s.Revision)
+	}
+	return out
+}
+
+// keep remembers the newest version before it is replaced.
+func (s *State) keep() {
+	if s.Revision == 0 || s.Packed == nil {
+		return
+	}
+	s.Past = append(slices.Clip(s.Past), past{s.Revision, s.Packed})
+	bytes := 0
+	for i := len(s.Past) - 1; i >= 0; i-- {
+		if bytes += len(s.Past[i].Packed); bytes > mostPastBytes || len(s.Past)-i > mostPast {
+			s.Past = slices.Clone(s.Past[i+1:])
+			return
+		}
+	}
+}
+
 // Judge tells what a call to replace the configuration comes to as things
 // stand, by the hash of what was sent: 200 where that very configuration was
 // taken, 0 where it may be taken.
@@ -88,6 +142,7 @@
 	if r := s.Judge(p.Base, p.Revision, p.Hash); r.Status != 0 {
 		return r
 	}
+	s.keep()
 	s.Revision, s.Plain, s.Packed = p.Revision, p.Plain, p.Packed
 	s.Taken = append(s.Taken, taken{p.Revision, p.Hash})
 	if k := len(s.Taken) - mostTaken; k > 0 {
