--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -43,6 +43,8 @@
 	turn   int      // at the leader's place, where no leader is known
 	helper int      // index of the member that is asked for news
 	moved  time.Time
+	failed int      // members that did not answer, one after the other
+	spare  []string // core machines that are known otherwise
 }
 
 // Learn takes in where the core is.
@@ -56,10 +58,19 @@
 	rank := func(addr string) uint64 { return xxhash.Sum64String(c.Name + "/" + addr) }
 	next := slices.SortedFunc(slices.Values(addrs), func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
 	if !slices.Equal(next, c.addrs) {
-		c.addrs, c.helper = next, 0
+		c.addrs, c.helper, c.failed = next, 0, 0
 	}
 }
 
+// Spare takes in core machines that are known otherwise than from the core: they
+// are asked where all that the core named have failed, as after it was replaced
+// machine by machine while this process heard nothing of it.
+func (c *Client) Spare(addrs []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.spare = slices.Clone(addrs)
+}
+
 // Failed forgets a leader that does not answer.
 func (c *Client) Failed(addr string) {
 	c.mu.Lock()
@@ -103,6 +114,9 @@
 	defer c.mu.Unlock()
 	if len(c.addrs) > 0 && c.addrs[c.helper%len(c.addrs)] == addr {
 		c.helper, c.moved = (c.helper+1)%len(c.addrs), time.Now()
+		if c.failed++; c.failed >= 2*len(c.addrs) && len(c.spare) > 0 {
+			c.addrs, c.helper, c.failed = c.spare, 0, 0
+		}
 	}
 }
 
--- a/controlplane/watch_test.go
+++ b/controlplane/watch_test.go
@@ -253,3 +253,24 @@
 		}
 	}
 }
+
+// Where all members that are known have failed again and again, core machines that
+// are known otherwise are asked.
+func TestSpareMembers(t *testing.T) {
+	c := &Client{Name: "edge-1"}
+	c.Learn("", []string{"a:1", "b:1"})
+	c.Spare([]string{"c:1", "d:1"})
+	for i := range 8 {
+		at := c.Helper()
+		if spare := at == "c:1" || at == "d:1"; spare != (i >= 4) {
+			t.Errorf("after %d failures %s is asked", i, at)
+		}
+		if i < 7 {
+			c.HelperFailed(at)
+		}
+	}
+	c.Learn("", []string{"e:1"})
+	if c.Helper() != "e:1" {
+		t.Error("what the core says goes first")
+	}
+}
--- a/dataplane/limiter/berth.go
+++ b/dataplane/limiter/berth.go
@@ -21,6 +21,7 @@
 	berthAgain  = 0.85     // ... of a request that has been refused before
 	leastAgain  = 40.0     // ms until it is worth asking again
 	mostWaiting = 64
+	mostRoutes  = 1024 // whose clients' time is remembered
 	laterTry    = 0.97 // of the time that clients of a route have: with less, it is a later try
 )
 
@@ -31,9 +32,9 @@
 	mean    float64 // bytes of a long answer
 	n       float64
 	workMs  float64
-	asked   []*Flight // whose heads have not come
-	waiting []*Flight // first come, first served
-	budgets map[string]float64
+	asked   []*Flight          // whose heads have not come
+	waiting []*Flight          // first come, first served
+	budgets map[string]float64 // the most time that a client of a route had
 }
 
 func newBerths(perMs float64) berths {
@@ -97,6 +98,9 @@
 func (f *Flight) later() bool {
 	b, left := &f.l.berths, f.r.DeadlineMs-f.r.ArrivedMs
 	if most := b.budgets[f.r.Route]; left >= most {
+		if len(b.budgets) >= mostRoutes { // those that are asked for come back
+			clear(b.budgets)
+		}
 		b.budgets[f.r.Route] = left
 		return false
 	} else {
--- a/process/process.go
+++ b/process/process.go
@@ -250,12 +250,17 @@
 
 func (p *Process) peersChanged(all []api.Peer) {
 	n := 0
+	var cores []string
 	for _, q := range all {
 		if q.Edge && q.State != membership.Dead {
 			n++
 		}
+		if q.Core && q.State == membership.Alive {
+			cores = append(cores, q.Addr)
+		}
 	}
 	p.peers.Store(int64(max(1, n)))
+	p.client.Spare(cores)
 	if p.gateway != nil {
 		p.gateway.SetPeers(all)
 	}
