One request, one story: reasons in logs and metrics, `elmspan explain`

Each answer of the gateway's own has a reason code, from one table, in the log, in a metric and in the operators' page; `elmspan explain ID LOG...` tells a request's path through all processes from their logs, text or JSON.

--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -33,6 +33,7 @@
 	Config  configCmd  `cmd:"" help:"Read, bring or compare the configuration of a running system."`
 	State   stateCmd   `cmd:"" help:"Export what the core agrees on, begin a lost core from it, and look into a data folder."`
 	Status  statusCmd  `cmd:"" help:"Show what a running process knows."`
+	Explain explainCmd `cmd:"" help:"Tell the path of one request through all processes, from their logs."`
 	Emulate emulateCmd `cmd:"" help:"Start a fleet on loopback with stand-ins of all it meets, play a day and report. Example: elmspan emulate docs/fleet.toml"`
 	Keys    keysCmd    `cmd:"" help:"Make and change the keys by which the system's own processes know each other."`
 	Version versionCmd `cmd:"" help:"Print the version."`
--- a/dataplane/answer.go
+++ b/dataplane/answer.go
@@ -25,7 +25,8 @@
 // answer is the final answer to a request: one of our own, or a server's.
 type answer struct {
 	status     int
-	why        string // of our own answers: plain text
+	reason     string // of our own answers: a code ...
+	why        string // ... and plain text
 	retryAfter time.Duration
 	closes     bool
 
--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log/slog"
 	"time"
 
 	"example.org/elmspan/api"
@@ -70,7 +71,7 @@
 	g.mu.Unlock()
 	switch {
 	case refused:
-		return &answer{status: 503, why: "the link can't carry it in time", retryAfter: max(leastAdvice, min(mostAdvice, millis(wait)))}
+		return linkFull.answer(max(leastAdvice, min(mostAdvice, millis(wait))))
 	case granted:
 		return nil
 	}
@@ -129,7 +130,7 @@
 	if m == nil {
 		g.mu.Unlock()
 		if refused {
-			return &answer{status: 503, why: "no server can answer in time", retryAfter: max(leastAdvice, min(mostAdvice, millis(wait)))}, false
+			return serverFull.answer(max(leastAdvice, min(mostAdvice, millis(wait)))), false
 		}
 		return nil, false
 	}
@@ -157,8 +158,10 @@
 	g.limiter.Done(inMs(g.now()), at.member, at.result, took)
 	g.mu.Unlock()
 	g.measureTry(f.r.service, at)
-	g.log.Debug("try", "id", f.r.head.Get("Attempt-Id"), "service", f.r.service, "server", at.member.ID, "zone", at.member.Zone,
-		"result", int(at.result), "ran", at.ran, "took_ms", took, "at", at.load, "hedge", at.hedge)
+	if g.log.Enabled(context.Background(), slog.LevelDebug) { // what it would say costs more than the rest of the line
+		g.log.Debug("try", "id", f.r.head.Get("Attempt-Id"), "service", f.r.service, "server", at.member.ID, "zone", at.member.Zone,
+			"result", results[at.result], "ran", at.ran, "took_ms", took, "at", at.load, "hedge", at.hedge)
+	}
 	f.ended <- at
 }
 
@@ -204,11 +207,11 @@
 	}
 	switch f.course.Status(inMs(f.g.now()), f.r.started) {
 	case 503:
-		return &answer{status: 503, why: "no server took the request", retryAfter: fullAdvice}
+		return noneTook.answer(fullAdvice)
 	case 504:
-		return &answer{status: 504, why: "the time is up"}
+		return timeUp.answer(0)
 	}
-	return &answer{status: 502, why: "no server gave an answer of use"}
+	return noAnswer.answer(0)
 }
 
 // take goes on after an attempt has ended. An answer that is returned is final.
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -40,7 +40,7 @@
 		wait, ok := g.limiter.Admit(inMs(g.now()), r.tenant.id)
 		if !ok {
 			g.mu.Unlock()
-			return &answer{status: 429, why: "beyond the quota", retryAfter: max(leastAdvice, millis(wait))}
+			return overQuota.answer(max(leastAdvice, millis(wait)))
 		}
 	}
 	r.service = r.route.service(g.rng.Float64())
@@ -124,7 +124,7 @@
 		var e *h1.Error
 		if errors.As(err, &e) { // the client's fault
 			c.Close()
-			return outcome{result: balance.Given, ran: true, answer: &answer{status: e.Status, why: e.Why, closes: true}}, false
+			return outcome{result: balance.Given, ran: true, answer: &answer{status: e.Status, reason: "malformed", why: e.Why, closes: true}}, false
 		}
 	}
 	var head *h1.Head
@@ -232,7 +232,7 @@
 		return outcome{result: balance.Full}, false
 	case a.status == 429, a.status == 503, a.status == 408:
 		// These would promise that it has not run, which the server did not say.
-		a = &answer{status: 502, why: "the server failed"}
+		a = barePledge.answer(0)
 		return outcome{result: balance.Failed, ran: true, answer: a}, false
 	case a.status < 500:
 		return outcome{result: balance.Good, ran: true, answer: a}, false
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -178,13 +178,13 @@
 func (c *clientConn) prepare(head *h1.Head, arrived time.Time) (*request, *answer) {
 	r := &request{head: head, arrived: arrived}
 	refuse := func(status int, why string) (*request, *answer) {
-		return r, &answer{status: status, why: why, closes: status == 400 || status == 413 || status == 408}
+		return r, malformed(status, why)
 	}
 	framing, err := head.RequestBody()
 	if err != nil {
 		var e *h1.Error
 		if errors.As(err, &e) {
-			return r, &answer{status: e.Status, why: e.Why, closes: true}
+			return r, &answer{status: e.Status, reason: "malformed", why: e.Why, closes: true}
 		}
 		return refuse(400, err.Error())
 	}
@@ -198,20 +198,20 @@
 	}
 	v := c.g.view.Load()
 	if v == nil {
-		return c.skip(r, framing, &answer{status: 503, why: "no configuration yet", retryAfter: unleasedAdvice})
+		return c.skip(r, framing, noConfig.answer(unleasedAdvice))
 	}
 	path, _, _ := strings.Cut(head.Target, "?")
 	if r.route = v.route(head.Get("Host"), path); r.route == nil {
-		return c.skip(r, framing, &answer{status: 404, why: "no route"})
+		return c.skip(r, framing, noRoute.answer(0))
 	}
 	r.keyed = v.keyed()
 	if r.keyed && !r.route.Anonymous {
 		scheme, key, _ := strings.Cut(head.Get("Authorization"), " ")
 		if !c.g.Leased() {
-			return c.skip(r, framing, &answer{status: 503, why: "keys can't be checked now", retryAfter: unleasedAdvice})
+			return c.skip(r, framing, noLease.answer(unleasedAdvice))
 		}
 		if r.tenant, _ = v.keys.Get(sum256(strings.TrimSpace(key))); r.tenant == nil || !strings.EqualFold(scheme, "Token") {
-			return c.skip(r, framing, &answer{status: 401, why: "unknown key"})
+			return c.skip(r, framing, unknownKey.answer(0))
 		}
 	}
 	budget := r.route.timeout
@@ -279,10 +279,7 @@
 	}
 	defer a.release()
 	defer c.g.over(r)
-	if a.from == nil {
-		c.g.log.Debug("refused", "id", r.head.Get("Attempt-Id"), "status", a.status, "why", a.why, "after_ms", inMs(time.Since(r.arrived)))
-	}
-	c.g.measure(r, a)
+	c.g.tell(r, a)
 	<-turn
 	c.mu.Lock()
 	switch {
