--- a/emulator/fleet_test.go
+++ b/emulator/fleet_test.go
@@ -12,7 +12,7 @@
 )
 
 // A small fleet of real processes serves a day with a lost process, a changed
-// configuration, replaced servers and lost answers, and breaks no rule.
+// configuration, replaced servers, lost answers and stutters, and breaks no rule.
 func TestFleet(t *testing.T) {
 	dir := t.TempDir()
 	bin := filepath.Join(dir, "elmspan")
@@ -25,7 +25,7 @@
 	}
 	s.LengthS, s.Keys = 6, true
 	s.Troubles = []scenario.Trouble{{Kind: "config", At: 0.5}, {Kind: "release", At: 1, Count: 1}, {Kind: "kill", At: 1.5, For: 1},
-		{Kind: "lost_answers", At: 2, For: 2, Count: 4, X: 0.1}, {Kind: "bad_config", At: 3}}
+		{Kind: "lost_answers", At: 2, For: 2, Count: 4, X: 0.1}, {Kind: "stutter", At: 2.5, For: 2, Count: 4, X: 0.3}, {Kind: "bad_config", At: 3}}
 	f, err := NewFleet(s, []string{bin, "gateway"}, filepath.Join(dir, "fleet"), os.Stderr)
 	if err != nil {
 		t.Fatal(err)
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -39,8 +39,11 @@
 	dead     bool
 	slow     float64 // work takes so many times as long
 	lose     float64 // share of answers that are lost
+	stutter  float64 // share of answers that are sent again, at once or late
 	listener net.Listener
 	conns    map[net.Conn]bool
+
+	owed sync.Map // by connection: the second answer of a stutter, due with the next
 }
 
 func startServer(id, addr, zone string, spec *scenario.Service, classes map[string]*scenario.Class, l *judge.Ledger, seed uint64) (*server, error) {
@@ -85,12 +88,13 @@
 		s.mu.Lock()
 		delete(s.conns, c)
 		s.mu.Unlock()
+		s.owed.Delete(c)
 	}()
 	in := bufio.NewReader(c)
 	for {
 		c.SetReadDeadline(time.Now().Add(serverIdle))
 		h, body, err := h1.ReadWhole(in, mostHead)
-		if err != nil || !s.answer(c, h, body) {
+		if err != nil || !s.owe(c) || !s.answer(c, h, body) {
 			return
 		}
 	}
@@ -98,15 +102,15 @@
 
 // answer works on one request; false ends the connection.
 func (s *server) answer(c net.Conn, h *h1.Head, body []byte) bool {
+	id := h.Get("Attempt-Id")
 	refuse := func(status int, why string) bool {
-		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nNot-Executed: %s\r\nMember-Id: %s\r\nContent-Length: 0\r\n\r\n", status, why, s.id)
+		_, err := fmt.Fprintf(c, "HTTP/1.1 %d x\r\nAttempt-Id: %s\r\nNot-Executed: %s\r\nMember-Id: %s\r\nContent-Length: 0\r\n\r\n", status, id, why, s.id)
 		return err == nil
 	}
 	if h.Target == "/health" {
 		_, err := fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nMember-Id: %s\r\nContent-Length: 0\r\n\r\n", s.id)
 		return err == nil
 	}
-	id := h.Get("Attempt-Id")
 	if m := h.Get("Target-Member"); m != "" && m != s.id {
 		return refuse(421, "another member")
 	}
@@ -154,6 +158,7 @@
 	s.mu.Lock()
 	work := class.Work(s.rng, s.slow, time.Since(s.born).Seconds() < s.spec.ColdS)
 	lost, dead, draining := s.rng.Float64() < s.lose, s.dead, s.draining
+	stutters, late := s.rng.Float64() < s.stutter, s.rng.IntN(2) == 0
 	s.mu.Unlock()
 	if dead {
 		return false
@@ -171,6 +176,21 @@
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nKeep-Alive: timeout=8\r\n%sContent-Length: %d\r\n\r\n", id, judge.SealOf(s.id, id, out), closes, len(out))
 	b.Write(out)
-	_, err = c.Write(b.Bytes())
+	if stutters && !late { // in one piece with the next answer, or while the connection rests
+		b.Write(b.Bytes())
+	}
+	if _, err = c.Write(b.Bytes()); err == nil && stutters && late {
+		s.owed.Store(c, b.Bytes())
+	}
 	return err == nil && !draining
 }
+
+// owe writes what a stutter left to be written where the next answer is due.
+func (s *server) owe(c net.Conn) bool {
+	again, owed := s.owed.LoadAndDelete(c)
+	if !owed {
+		return true
+	}
+	_, err := c.Write(again.([]byte))
+	return err == nil
+}
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -60,18 +60,21 @@
 		for _, s := range f.platform.pick(f.perm, count) {
 			f.replace(ctx, s, t.Kind == "reuse")
 		}
-	case "lost_answers", "slow":
+	case "lost_answers", "slow", "stutter":
 		for _, s := range f.platform.pick(f.perm, count) {
 			s.mu.Lock()
-			if t.Kind == "slow" {
+			switch t.Kind {
+			case "slow":
 				s.slow = max(2, t.X)
-			} else {
+			case "stutter":
+				s.stutter = max(0.03, t.X)
+			default:
 				s.lose = max(0.03, t.X)
 			}
 			s.mu.Unlock()
 			time.AfterFunc(lasting, func() {
 				s.mu.Lock()
-				s.slow, s.lose = 1, 0
+				s.slow, s.lose, s.stutter = 1, 0, 0
 				s.mu.Unlock()
 			})
 		}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -76,7 +76,7 @@
 }
 
 // Trouble strikes at a time, in seconds from the start of traffic. Kinds: kill,
-// term, hup, crash, release, reuse, lost_answers, slow, hot_tenant, config,
+// term, hup, crash, release, reuse, lost_answers, stutter (a second answer, late), slow, hot_tenant, config,
 // bad_config, revoke, kill_all; freeze (a limiter stands still), cut (the last
 // zone's limiters don't hear the others).
 type Trouble struct {
@@ -90,7 +90,7 @@
 // where tells which of the two plays a kind of trouble.
 var where = map[string]struct{ emulated, simulated bool }{
 	"kill": {true, true}, "kill_all": {true, true}, "crash": {true, true}, "release": {true, true}, "lost_answers": {true, true},
-	"slow": {true, true}, "hot_tenant": {true, true}, "freeze": {true, true}, "cut": {false, true}, "term": {true, false},
+	"stutter": {true, false}, "slow": {true, true}, "hot_tenant": {true, true}, "freeze": {true, true}, "cut": {false, true}, "term": {true, false},
 	"hup": {true, false}, "reuse": {true, false}, "config": {true, false}, "bad_config": {true, false}, "revoke": {true, false},
 }
 
