Read once more: a method nobody calls is out; versions of a test brought in one place

link.Transfer was left from the first plan of the link and had no caller. The two tests of history and restore brought their versions with a loop each.

--- a/controlplane/export_test.go
+++ b/controlplane/export_test.go
@@ -19,17 +19,23 @@
 	"example.org/elmspan/api"
 )
 
+// bringVersions has versions 1 to n taken, each on top of the one before.
+func bringVersions(t *testing.T, cl *Client, n uint64) {
+	t.Helper()
+	for i := range n {
+		if got := replace(cl, i, config(t, i+1)); got != http.StatusOK {
+			t.Fatalf("revision %d: %d", i+1, got)
+		}
+	}
+}
+
 // The versions before the newest are read back as they were sent, and may be
 // brought again under a new number; how many are remembered is bounded.
 func TestHistory(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
 	cl := c.client()
-	for i := range uint64(4) {
-		if got := replace(cl, i, config(t, i+1)); got != http.StatusOK {
-			t.Fatalf("revision %d: %d", i+1, got)
-		}
-	}
+	bringVersions(t, cl, 4)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	if r := cl.Get(ctx, &api.Read{Versions: true}); !slices.Equal(r.Versions, []uint64{1, 2, 3, 4}) {
@@ -60,11 +66,7 @@
 	t.Parallel()
 	c := newCluster(t)
 	cl := c.client()
-	for i := range uint64(3) {
-		if got := replace(cl, i, config(t, i+1)); got != http.StatusOK {
-			t.Fatalf("revision %d: %d", i+1, got)
-		}
-	}
+	bringVersions(t, cl, 3)
 	ctx, cancel := context.WithTimeout(context.Background(), patience)
 	defer cancel()
 	export := cl.Get(ctx, &api.Read{State: true})
--- a/dataplane/link/link.go
+++ b/dataplane/link/link.go
@@ -97,14 +97,6 @@
 	return max(0, l.freeAt.Sub(l.now()))
 }
 
-// Transfer is how long so many bytes take on the link, with nothing beside them.
-func (l *Link) Transfer(bytes float64) time.Duration {
-	if l == nil {
-		return 0
-	}
-	return time.Duration(bytes / l.perS * float64(time.Second))
-}
-
 // PerS is how many bytes a second long bodies may use, 0 where the link is so fast,
 // or so little is known of it, that they need no plan.
 func (l *Link) PerS() float64 {
