Quotas hold whoever hears whom, in large fleets too; reporters by hash

Change: classes of limiters that hear the same ones, as in small fleets; digests tell whom their reporter hears and who has which sum; two reporters by the highest hash, so that one that comes moves a k-th; a sum that was the same counts 0.5 s longer; the reporter that hears more of its group is gone by.

--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -260,8 +260,9 @@
 	Revision        uint64
 	LeaseLeftMs     int64 // below 0: it has run out
 	InHand          int64
-	Connections     int // of clients
-	Peers           int // other limiters
+	Connections     int     // of clients
+	QuotaPart       float64 // of each quota that this limiter may use: 1 where it hears all others, and they each other
+	Peers           int     // other limiters
 	Servers         []ServerStatus
 }
 
@@ -278,7 +279,7 @@
 		LeaseLeftMs: (time.Duration(g.leaseTo.Load()) - g.now()).Milliseconds()}
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	s.Connections, s.Peers = len(g.conns), g.limiter.Others()
+	s.Connections, s.Peers, s.QuotaPart = len(g.conns), g.limiter.Others(), g.limiter.Part(inMs(g.now()))
 	for _, m := range g.limiter.Members() {
 		s.Servers = append(s.Servers, ServerStatus{m.ID, m.Upstream, m.Zone, m.State, m.Out(), m.Load(inMs(g.now()))})
 	}
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -166,6 +166,9 @@
 	return true
 }
 
+// Part is the share of the quotas that this limiter may use.
+func (l *Limiter) Part(now float64) float64 { return l.quota.Part(now) }
+
 // Others is how many other limiters there are; Targets how many of them are told something.
 func (l *Limiter) Others() int { return len(l.peers) }
 
--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -1,15 +1,19 @@
 package quota
 
-import "math/bits"
+import (
+	"math/bits"
+	"slices"
+)
 
 // In a small fleet each limiter tells all others of its units. In a large one
 // that would be as many words for each as there are limiters. There, their zone
 // and the first bits of their ids put limiters into groups: within zones, so that
 // where zones are cut off from each other a limiter hears of all on its side, as
 // all of them do. Those of one group tell each other
-// as in a small fleet. What a group has let through, as a sum, and how many of
-// it hear each other, a limiter of each other group is told by two of the group:
-// it goes by one of them, and by the other one from where the first falls silent.
+// as in a small fleet. What a group has let through, as a sum, and who of it
+// hears whom (share.go), a limiter of each other group is told by two of the group:
+// it goes by one of them, and by the other one from where the first falls silent,
+// or hears fewer of its group.
 // So nobody depends on one limiter, and each sends some n/G + 2G words instead
 // of n, where there are G groups.
 
@@ -54,8 +58,12 @@
 
 // group is another group, as it is reported.
 type group struct {
-	size      float64 // as known here
-	heard     float64 // of it hear each other, as the reporter says
+	size      int     // as known here
+	heard     int     // of it, by the one whose word counts ...
+	set       uint32  // ... the sum over them
+	classes   []Class // of them
+	same      int     // of them hear the same ones as this limiter ...
+	sameAt    float64 // ... at this time, or more did before
 	at        float64 // of the word that counts
 	source    uint64  // whose word counts
 	first     bool    // it is the one to go by
@@ -69,14 +77,17 @@
 	at     float64
 	latest map[uint64]uint64 // sums since its start
 	ahead  map[uint64]uint64 // units told since the last word that counted
+	more   float64           // since when it hears more of its group than the one whose word counts; 0: it does not
 }
 
 // Digest is what a limiter tells of its group.
 type Digest struct {
-	Level Level   // at which it forms groups
-	First bool    // of the two that tell this limiter, the one to go by while it speaks
-	Heard int     // of the group, itself among them
-	Spent []Spent // by the whole group since the teller's start
+	Level   Level   // at which it forms groups
+	First   bool    // of the two that tell this limiter, the one to go by while it speaks
+	Heard   int     // of the group, itself among them
+	Set     uint32  // the sum over them
+	Classes []Class // of them, the largest first
+	Spent   []Spent // by the whole group since the teller's start
 }
 
 // Level is the level at which groups are formed.
@@ -109,8 +120,10 @@
 			delete(s.groups, id)
 		}
 	}
+	s.shares.mates = s.shares.mates[:0]
 	for _, p := range s.peers {
 		if s.direct(p.Member) {
+			s.shares.mates = append(s.shares.mates, p)
 			continue
 		}
 		k := s.level.Group(p.Member)
@@ -123,12 +136,9 @@
 
 // ReportGroup is the digest of this limiter's group: tenants with news, as in [Set.Report].
 func (s *Set) ReportGroup(now float64, out []Spent) Digest {
-	d := Digest{Level: s.level, Heard: 1, Spent: out}
-	for _, p := range s.peers {
-		if s.hears(now, p) {
-			d.Heard++
-		}
-	}
+	s.part(now)
+	h := &s.shares
+	d := Digest{Level: s.level, Heard: h.heard, Set: h.own, Classes: h.classes, Spent: out}
 	for id, t := range s.tenants {
 		if t.plan.Rate > 0 && t.group.due(t.grouped) {
 			if pause := s.pause(now, t, t.grouped-t.group.units, groupMs); now-t.group.at >= pause {
@@ -177,13 +187,30 @@
 			r.ahead[e.Tenant] += e.Units - before
 		}
 	}
-	if g.source != from && now-g.at <= s.fresh() && (g.first || !d.First) {
+	fresh := s.goesBy(now, g)
+	switch {
+	case g.source == from || d.Heard <= g.heard:
+		r.more = 0
+	case r.more == 0:
+		r.more = now
+	}
+	// One that hears more of its group is gone by whether it is the first or not: what
+	// the other does not hear would be drawn by nobody who goes by that one.
+	if g.source != from && fresh && (g.first || !d.First) && (r.more == 0 || now-r.more < graceMs) ||
+		g.source != from && fresh && d.Heard < g.heard {
 		return // another one's word counts
 	}
-	if now-g.at > s.fresh() || g.heard != float64(d.Heard) {
-		s.shareTo = 0
+	if !fresh || g.set != d.Set || !slices.Equal(g.classes, d.Classes) {
+		s.shares.validTo = 0
+	}
+	if !fresh {
+		g.same, g.sameAt = d.Heard, now
+	}
+	g.source, g.first, g.at, g.heard, g.set = from, d.First, now, d.Heard, d.Set
+	g.classes = append(g.classes[:0], d.Classes...)
+	if s.part(now); g.same == 0 {
+		clear(r.ahead) // none of it shares with this limiter
 	}
-	g.source, g.first, g.at, g.heard = from, d.First, now, float64(d.Heard)
 	for id, units := range r.ahead {
 		if t := s.tenants[id]; t != nil {
 			s.draw(now, t, units)
--- a/dataplane/quota/groups_test.go
+++ b/dataplane/quota/groups_test.go
@@ -25,8 +25,13 @@
 		t.Fatalf("%d of the group, level %d", len(group), s.Level())
 	}
 	a, b, c := group[0].ID, group[1].ID, group[2].ID
+	const who = 7 // the sum over the group
+	digest := func(units uint64) Digest {
+		return Digest{Level: level, Heard: len(group), Set: who, Classes: []Class{{mark(self.ID) ^ who, len(group)}},
+			Spent: []Spent{{Tenant: tenantID, Units: units}}}
+	}
 	word := func(now float64, from uint64, units uint64) {
-		s.HeardGroup(now, from, from, now, Digest{Level: level, Heard: len(group), Spent: []Spent{{Tenant: tenantID, Units: units}}})
+		s.HeardGroup(now, from, from, now, digest(units))
 	}
 	start, between := s.Balance(0, tenantID), 0.0
 	paid := func(now float64, want float64, what string) {
@@ -64,7 +69,7 @@
 	paid(4001, 170+2000, "one goes on alone")
 	for now := 4900.0; now <= 5100; now += 100 { // b has stopped
 		word(now, a, 2170+uint64(now-4900))
-		s.HeardGroup(now, c, c, now, Digest{Level: level, Heard: len(group), Spent: []Spent{{Tenant: tenantID, Units: 2170 + uint64(now-4900)}}})
+		s.HeardGroup(now, c, c, now, digest(2170+uint64(now-4900)))
 	}
 	paid(5101, 170+2000+200, "one that is back, and a new one")
 }
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -4,12 +4,7 @@
 // It reads no clock and does no I/O; times are in milliseconds on the host's
 // steady clock.
 //
-// A limiter that does not hear some others must not spend their part: of n
-// limiters each owns one n-th of rate and burst in escrow. Each tells whom it
-// hears, and those that hear the same ones, and so each other, share their
-// parts. Every limiter belongs to one such set, whoever hears whom: the sum is
-// never above the plan. It would be where a limiter shared with all that it
-// hears: two that do not hear each other would both spend the parts of a third.
+// A limiter that does not hear some others must not spend their part: see share.go.
 package quota
 
 import (
@@ -37,8 +32,6 @@
 	groupMs   = 700.0 // a group's sums, of tenants that have much left
 	pastMs    = 2000.0
 	seedMs    = 3000.0 // after its start a limiter takes over what others' buckets hold
-	changeMs  = 150.0  // so long after a change limiters still learn that it has come
-	apartMs   = 500.0  // those that hear others for less are on the way to hear the same
 	shareMs   = 10.0   // for so long the part of the quotas is not counted anew
 )
 
@@ -57,9 +50,8 @@
 	peers   map[uint64]*peer // other limiters, by the hash of their names
 	level   Level
 	groups  map[Group]*group
-	share   float64 // as part found it ...
-	shareTo float64 // ... until then
-	set     uint32  // whom this limiter hears, itself among them
+	shares  shares
+	seeded  bool // shares with so many that its buckets could take over what others' hold
 }
 
 type tenant struct {
@@ -69,8 +61,10 @@
 	spent   uint64 // admitted here since the start
 	own     told   // of it, to those who hear this limiter itself
 	seeded  bool
-	grouped uint64 // let through by this limiter's group, as far as known, since the start
-	group   told   // of it, to other groups
+	seed    float64 // what the bucket takes over once this limiter shares with most; 0: nothing
+	missed  float64 // drawn meanwhile
+	grouped uint64  // let through by this limiter's group, as far as known, since the start
+	group   told    // of it, to other groups
 }
 
 type peer struct {
@@ -79,7 +73,7 @@
 	metAt   float64 // the first word of this life
 	heardAt float64
 	set     uint32  // whom it hears
-	apart   float64 // since when that is not whom this limiter hears; 0: it is
+	sameAt  float64 // when that was whom this limiter hears
 	goneAt  float64 // not a member since; 0: it is one
 	spent   map[uint64]uint64
 }
@@ -129,7 +123,7 @@
 		is[m.ID] = true
 		p := s.peers[m.ID]
 		if p == nil {
-			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1)}
+			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1), sameAt: math.Inf(-1)}
 			s.peers[m.ID] = p
 		}
 		p.Member, p.goneAt = m, 0
@@ -144,41 +138,7 @@
 		}
 	}
 	s.regroup(now)
-	s.shareTo = 0
-}
-
-// part is the share of each quota that this limiter may use with those it
-// hears. Counting them anew with each request would cost the more the larger
-// the fleet is.
-func (s *Set) part(now float64) float64 {
-	if now >= s.shareTo {
-		heard, all := 1.0, 1.0
-		s.set = mark(s.self.ID)
-		for _, p := range s.peers {
-			if s.hears(now, p) {
-				s.set ^= mark(p.ID)
-			}
-		}
-		for _, p := range s.peers {
-			all++
-			switch {
-			case s.level > 0 || p.set == s.set:
-				p.apart = 0
-			case p.apart == 0:
-				p.apart = now
-			}
-			if s.hears(now, p) && (p.apart == 0 || now-p.apart < changeMs) {
-				heard++
-			}
-		}
-		for _, g := range s.groups {
-			if now-g.at <= s.fresh() {
-				heard += min(g.heard, g.size)
-			}
-		}
-		s.share, s.shareTo = heard/all, now+shareMs
-	}
-	return s.share
+	s.shares.validTo = 0
 }
 
 // hears tells whether another limiter's own words come.
@@ -194,15 +154,6 @@
 	return FreshMs
 }
 
-// mark is one limiter's part in the sum over those that are heard.
-func mark(id uint64) uint32 { return uint32(id^id>>32) | 1 }
-
-// Hears is the sum over those whom this limiter hears, to be told to them.
-func (s *Set) Hears(now float64) uint32 {
-	s.part(now)
-	return s.set
-}
-
 func (s *Set) refill(now float64, t *tenant) {
 	part := s.part(now)
 	t.balance = bucket.Refill(t.balance, (now-t.at)/1000, t.plan.Rate*part, t.plan.Burst*part)
@@ -264,8 +215,25 @@
 		return
 	}
 	t.seeded = true
-	s.refill(now, t)
-	t.balance = max(t.balance, t.plan.Burst*float64(level)/255)
+	if t.seed = t.plan.Burst * float64(level) / 255; s.seeded {
+		s.takeSeed(now, t)
+	}
+}
+
+// takeSeeds has the buckets take over what others' hold, once most others pay for
+// what is spent here.
+func (s *Set) takeSeeds(now float64) {
+	for _, t := range s.tenants {
+		s.takeSeed(now, t)
+	}
+}
+
+func (s *Set) takeSeed(now float64, t *tenant) {
+	if t.seed > 0 {
+		s.refill(now, t)
+		t.balance = max(t.balance, min(t.seed-t.missed, t.plan.Burst))
+	}
+	t.seed, t.missed = 0, 0
 }
 
 // pause is how seldom a tenant is told of, where so many units are not told yet;
@@ -295,18 +263,18 @@
 // Heard takes in the word of another limiter: which start of it speaks, for
 // how long that has run, whom it hears, and what it has spent. Figures are
 // cumulative, so that the next message heals a lost one. Of one that hears
-// others than this limiter for some time, it is not drawn: it has its own part.
+// others than this limiter, it is not drawn: it has its own part.
 func (s *Set) Heard(now float64, from, life uint64, ageMs float64, set uint32, spent []Spent) {
 	p := s.peers[from]
 	if p == nil || !s.direct(p.Member) {
 		return
 	}
 	if p.life != life {
-		p.life, p.metAt = life, now
+		p.life, p.metAt, p.sameAt = life, now, now
 		clear(p.spent)
 	}
 	if now-p.heardAt > s.fresh() || p.set != set {
-		s.shareTo = 0
+		s.shares.validTo = 0
 	}
 	p.heardAt, p.set = now, set
 	s.part(now)
@@ -323,7 +291,7 @@
 		p.spent[e.Tenant] = max(before, e.Units)
 		if e.Units > before {
 			t.grouped += e.Units - before
-			if p.apart == 0 || now-p.apart < apartMs {
+			if s.shares.with(now, p) {
 				s.draw(now, t, e.Units-before)
 			}
 		}
@@ -338,6 +306,9 @@
 func (s *Set) draw(now float64, t *tenant, units uint64) {
 	s.refill(now, t)
 	t.balance = bucket.Draw(t.balance, float64(units), -t.plan.Burst-t.plan.Rate)
+	if t.seed > 0 {
+		t.missed += float64(units)
+	}
 }
 
 // Balance returns what a tenant's bucket holds, for reports.
--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -2,8 +2,11 @@
 
 import (
 	"cmp"
+	"encoding/binary"
 	"slices"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/elmspan/dataplane/balance"
 	"example.org/elmspan/dataplane/quota"
 )
@@ -124,38 +127,45 @@
 	}
 }
 
-// across names the limiters of other groups that this one tells of its group.
-// Of k limiters of a group, by their ids, the i-th and the one after it tell
-// the i-th, (i+k)-th, ... of another.
-// One of the two is the first, whose words count while it speaks: 1; the other
-// has 2.
+// across names the limiters of other groups that this one tells of its group: each
+// of them is told by the two of the group whose names, with its own, hash highest.
+// So one that comes or goes changes who tells for few. Of the two one is the first,
+// whose words count while it speaks: 1; the other has 2.
 func (t *Teller) across(peers []quota.Member, level quota.Level) map[uint64]int {
 	out := map[uint64]int{}
-	byGroup := map[quota.Group][]uint64{}
 	own := level.Group(t.self)
-	mates := []uint64{t.self.ID}
+	var mates, others []uint64
 	for _, p := range peers {
-		if k := level.Group(p); k == own {
+		if level.Group(p) == own {
 			mates = append(mates, p.ID)
 		} else {
-			byGroup[k] = append(byGroup[k], p.ID)
+			others = append(others, p.ID)
 		}
 	}
-	slices.Sort(mates)
-	at, k := slices.Index(mates, t.self.ID), len(mates)
-	for _, ids := range byGroup { // each in order, as peers is
-		for i, id := range ids {
-			switch at {
-			case i % k:
-				out[id] = 1
-			case (i + 1) % k:
-				out[id] = 2
+	for _, id := range others {
+		place, mine := 1, rank(t.self.ID, id)
+		for _, mate := range mates {
+			if r := rank(mate, id); r > mine || r == mine && mate > t.self.ID {
+				if place++; place > 2 {
+					break
+				}
 			}
 		}
+		if place <= 2 {
+			out[id] = place
+		}
 	}
 	return out
 }
 
+// rank is a limiter's claim to tell another one of its group.
+func rank(teller, told uint64) uint64 {
+	var b [16]byte
+	binary.BigEndian.PutUint64(b[:], teller)
+	binary.BigEndian.PutUint64(b[8:], told)
+	return xxhash.Sum64(b[:])
+}
+
 // along names the limiters of the zone that are next to this one.
 func (t *Teller) along(peers []quota.Member) map[uint64]bool {
 	ring := []uint64{t.self.ID}
@@ -289,7 +299,8 @@
 	t.told = append(t.told[:0], x.due[:n]...)
 	x.due = slices.Delete(x.due, 0, n)
 	if x.across {
-		w.Spent, w.Group = nil, quota.Digest{Level: d.Level, First: !x.second, Heard: d.Heard, Spent: t.told}
+		w.Spent, w.Group = nil, d
+		w.Group.First, w.Group.Spent = !x.second, t.told
 	} else {
 		w.Spent, w.Group = t.told, quota.Digest{}
 	}
--- a/dataplane/words/word.go
+++ b/dataplane/words/word.go
@@ -15,20 +15,24 @@
 // A word in bytes. A lost one heals with the next: units are cumulative, loads
 // are levels.
 //
-//	"E3" | name hash u64 | life u64 | age in ms, uvarint
+//	"E4" | name hash u64 | life u64 | age in ms, uvarint
 //	     | n uvarint, n x (tenant u40, units uvarint, level u8)
 //	     | n uvarint, n x (server hash u32, out u8, took u8)
 //	     | n uvarint, n x (service hash u16, demand u8)
-//	     | 0 u8 | whom it hears u32, or where limiters form groups:
-//	     | level u8, with 0x80 from the one to go by | heard uvarint | n uvarint, n x (tenant u40, units uvarint, level u8)
+//	     | 0 u8 | whom it hears u32, or a digest of its group:
+//	     | level u8 at which groups are formed, with 0x80, and with 0x40 from the one to go by | heard uvarint | who they are u32 | n uvarint, n x (whom they hear u32, count uvarint)
+//	     |         n uvarint, n x (tenant u40, units uvarint, level u8)
 const (
-	magic = "E3"
+	magic = "E4"
 	// MaxSize is the size of the longest word, in bytes: it fits a datagram.
-	MaxSize   = 1200
-	mostTold  = 48 // tenants in one word
-	mostHints = 64 // servers in one word
-	mostLevel = 16
-	firstBit  = 0x80 // beside the level
+	MaxSize     = 1200
+	mostTold    = 48 // tenants in one word
+	mostHints   = 64 // servers in one word
+	mostLevel   = 16
+	mostCount   = 1 << 20
+	digestBit   = 0x80 // beside the level
+	firstBit    = 0x40
+	mostClasses = 8
 )
 
 // Word is what one limiter tells another at a time.
@@ -38,7 +42,7 @@
 	Spent      []quota.Spent
 	Hints      []balance.Hint
 	Demand     []balance.Demand
-	Set        uint32       // whom it hears, as [quota.Set.Hears] has it; Level 0 only
+	Set        uint32       // whom it hears, as [quota.Set.Hears] has it
 	Group      quota.Digest // Level 0: none
 }
 
@@ -61,23 +65,26 @@
 	for _, d := range w.Demand {
 		b = append(binary.BigEndian.AppendUint16(b, d.Service), d.Level)
 	}
-	level := byte(w.Group.Level)
-	if w.Group.First {
+	d := &w.Group
+	if d.Level == 0 {
+		return binary.BigEndian.AppendUint32(append(b, 0), w.Set)
+	}
+	level := byte(d.Level) | digestBit
+	if d.First {
 		level |= firstBit
 	}
-	b = append(b, level)
-	if w.Group.Level == 0 {
-		b = binary.BigEndian.AppendUint32(b, w.Set)
-	} else {
-		b = binary.AppendUvarint(b, uint64(w.Group.Heard))
-		b = appendSpent(b, w.Group.Spent)
+	b = binary.AppendUvarint(append(b, level), uint64(d.Heard))
+	b = binary.BigEndian.AppendUint32(b, d.Set)
+	b = binary.AppendUvarint(b, uint64(len(d.Classes)))
+	for _, c := range d.Classes {
+		b = binary.AppendUvarint(binary.BigEndian.AppendUint32(b, c.Set), uint64(c.Count))
 	}
-	return b
+	return appendSpent(b, d.Spent)
 }
 
 // Size is about how many bytes the word has.
 func (w *Word) Size() int {
-	const head, perHint, perDemand, perSpent = 27, 6, 3, 9
+	const head, perHint, perDemand, perSpent = 35, 6, 3, 9
 	return head + perHint*len(w.Hints) + perDemand*len(w.Demand) + perSpent*(len(w.Spent)+len(w.Group.Spent))
 }
 
@@ -114,6 +121,13 @@
 	return 0
 }
 
+func (r *reader) u32() uint32 {
+	if b := r.take(4); b != nil {
+		return binary.BigEndian.Uint32(b)
+	}
+	return 0
+}
+
 func (r *reader) uvarint() uint64 {
 	v, n := binary.Uvarint(r.b)
 	if !r.ok || n <= 0 {
@@ -124,6 +138,9 @@
 	return v
 }
 
+// count reads a number of limiters.
+func (r *reader) count() int { return int(min(r.uvarint(), mostCount)) }
+
 func (r *reader) spent(out []quota.Spent) []quota.Spent {
 	for n := r.uvarint(); n > 0 && r.ok; n-- {
 		e := quota.Spent{}
@@ -160,19 +177,27 @@
 			w.Demand = append(w.Demand, balance.Demand{Service: binary.BigEndian.Uint16(d), Level: d[2]})
 		}
 	}
-	w.Set, w.Group = 0, quota.Digest{Spent: w.Group.Spent[:0]}
+	w.Set, w.Group = 0, quota.Digest{Spent: w.Group.Spent[:0], Classes: w.Group.Classes[:0]}
 	level := r.take(1)
-	switch {
-	case level == nil || level[0]&^firstBit > mostLevel || level[0] == firstBit:
+	if level == nil {
 		return ErrWord
+	}
+	d := &w.Group
+	switch d.Level = quota.Level(level[0] &^ (digestBit | firstBit)); {
 	case level[0] == 0:
-		if b := r.take(4); b != nil {
-			w.Set = binary.BigEndian.Uint32(b)
-		}
+		w.Set = r.u32()
+	case level[0]&digestBit == 0, d.Level == 0, d.Level > mostLevel:
+		return ErrWord
 	default:
-		heard := r.uvarint()
-		w.Group.Level, w.Group.First, w.Group.Heard = quota.Level(level[0]&^firstBit), level[0]&firstBit != 0, int(min(heard, 1<<30))
-		w.Group.Spent = r.spent(w.Group.Spent)
+		d.First, d.Heard, d.Set = level[0]&firstBit != 0, r.count(), r.u32()
+		n := r.count()
+		if n > mostClasses {
+			return ErrWord
+		}
+		for range n {
+			d.Classes = append(d.Classes, quota.Class{Set: r.u32(), Count: r.count()})
+		}
+		d.Spent = r.spent(d.Spent)
 	}
 	if !r.ok || len(r.b) != 0 {
 		return ErrWord
