Operators by name: tokens with roles, TLS and bounds at control_port, an audit log

Cause: whoever reached control_port could change all, and the log did not say who had. Ruled out: mutual TLS for operators (a certificate for each person is more than most keep up); passwords.

--- a/cmd/elmspan/config.go
+++ b/cmd/elmspan/config.go
@@ -1,24 +1,18 @@
 package main
 
 import (
-	"bytes"
-	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 	"os"
 	"slices"
 	"strconv"
-	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"example.org/elmspan/api"
 )
 
-const callFor = 5 * time.Second
-
 type configCmd struct {
 	Get  configGet  `cmd:"" help:"Print the newest configuration as JSON, or write it as it was sent."`
 	Put  configPut  `cmd:"" help:"Check a configuration and bring it."`
@@ -30,6 +24,7 @@
 
 type controlFlag struct {
 	Control string `help:"A control_port address of the system." required:"" placeholder:"HOST:PORT"`
+	callerFlags
 }
 
 type configGet struct {
@@ -49,48 +44,25 @@
 	File string `arg:"" help:"The configuration, .json or .cbor." type:"existingfile"`
 }
 
-// call asks a process; its plain text is the error where it does not say 200.
-func call(method, control, path string, header http.Header, body []byte) ([]byte, error) {
-	ctx, cancel := context.WithTimeout(context.Background(), callFor)
-	defer cancel()
-	req, err := http.NewRequestWithContext(ctx, method, "http://"+control+path, bytes.NewReader(body))
-	if err != nil {
-		return nil, err
-	}
-	if header != nil {
-		req.Header = header
-	}
-	resp, err := http.DefaultClient.Do(req)
-	if err != nil {
-		return nil, err
-	}
-	defer resp.Body.Close()
-	got, err := io.ReadAll(io.LimitReader(resp.Body, api.MaxConfig))
-	if err == nil && resp.StatusCode != http.StatusOK {
-		err = fmt.Errorf("%s answered %d: %s", control, resp.StatusCode, bytes.TrimSpace(got))
-	}
-	return got, err
-}
-
-func current(control string) (*api.Config, []byte, error) { return version(control, 0) }
+func current(c *controlFlag) (*api.Config, []byte, error) { return version(c, 0) }
 
 // version reads a configuration; 0 is the newest.
-func version(control string, revision uint64) (*api.Config, []byte, error) {
+func version(c *controlFlag, revision uint64) (*api.Config, []byte, error) {
 	path := "/v1/Config.Get"
 	if revision != 0 {
 		path += "?revision=" + strconv.FormatUint(revision, 10)
 	}
-	data, err := call(http.MethodGet, control, path, nil, nil)
+	data, err := c.call(http.MethodGet, c.Control, path, nil, nil)
 	if err != nil {
 		return nil, nil, err
 	}
-	c, err := api.ParseConfig(data)
-	return c, data, err
+	conf, err := api.ParseConfig(data)
+	return conf, data, err
 }
 
 // Run prints the newest configuration.
 func (c *configGet) Run() error {
-	_, data, err := version(c.Control, c.Revision)
+	_, data, err := version(&c.controlFlag, c.Revision)
 	if err != nil {
 		return err
 	}
@@ -145,17 +117,17 @@
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
 	if c.Base == 0 {
-		if now, _, err := current(c.Control); err == nil {
+		if now, _, err := current(&c.controlFlag); err == nil {
 			c.Base = now.Revision
 		}
 	}
-	return bring(c.Control, c.Base, conf.Revision, body)
+	return bring(&c.controlFlag, c.Base, conf.Revision, body)
 }
 
 // bring sends a configuration that builds on a version.
-func bring(control string, base, revision uint64, body []byte) error {
+func bring(c *controlFlag, base, revision uint64, body []byte) error {
 	h := http.Header{"Base-Revision": {strconv.FormatUint(base, 10)}, "Content-Type": {"application/cbor"}}
-	if _, err := call(http.MethodPost, control, "/v1/Config.Replace", h, body); err != nil {
+	if _, err := c.call(http.MethodPost, c.Control, "/v1/Config.Replace", h, body); err != nil {
 		return err
 	}
 	fmt.Printf("version %d is acknowledged\n", revision)
@@ -166,7 +138,7 @@
 
 // Run lists what is remembered.
 func (c *configHistory) Run() error {
-	data, err := call(http.MethodGet, c.Control, "/v1/Config.History", nil, nil)
+	data, err := c.call(http.MethodGet, c.Control, "/v1/Config.History", nil, nil)
 	if err != nil {
 		return err
 	}
@@ -189,11 +161,11 @@
 // Run brings what was in force before. It is a change like any other: it builds on
 // the current version, and one that came meanwhile wins.
 func (c *configRollback) Run() error {
-	now, _, err := current(c.Control)
+	now, _, err := current(&c.controlFlag)
 	if err != nil {
 		return err
 	}
-	_, data, err := version(c.Control, c.Revision)
+	_, data, err := version(&c.controlFlag, c.Revision)
 	if err != nil {
 		return err
 	}
@@ -210,7 +182,7 @@
 	if err != nil {
 		return err
 	}
-	return bring(c.Control, now.Revision, as, body)
+	return bring(&c.controlFlag, now.Revision, as, body)
 }
 
 // Run compares by name.
@@ -223,7 +195,7 @@
 	if err != nil {
 		return fmt.Errorf("%s: %w", c.File, err)
 	}
-	from, _, err := current(c.Control)
+	from, _, err := current(&c.controlFlag)
 	if err != nil {
 		return err
 	}
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -38,6 +38,8 @@
 	Keys    keysCmd    `cmd:"" help:"Make and change the keys by which the system's own processes know each other."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 
+	Operators operatorsCmd `cmd:"" help:"Say who may call the operator's interface, and what."`
+
 	Reference          referenceCmd                 `cmd:"" help:"Print the page on the tuning file."`
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print what makes the shell complete commands."`
 }
--- a/cmd/elmspan/state.go
+++ b/cmd/elmspan/state.go
@@ -22,6 +22,7 @@
 	Control string `help:"A control_port address of the running system." placeholder:"HOST:PORT" xor:"from" required:""`
 	Data    string `help:"Or the data folder of a member that does not run." type:"existingdir" xor:"from" required:""`
 	Out     string `arg:"" help:"The file to write. It holds keys."`
+	callerFlags
 }
 
 // Run writes an export.
@@ -29,7 +30,7 @@
 	var data []byte
 	var err error
 	if c.Control != "" {
-		data, err = call(http.MethodGet, c.Control, "/v1/State.Export", nil, nil)
+		data, err = c.call(http.MethodGet, c.Control, "/v1/State.Export", nil, nil)
 	} else {
 		err = withStore(c.Data, func(s *logstore.Store) error {
 			_, _, state, err := controlplane.Inspect(s)
--- a/cmd/elmspan/tools.go
+++ b/cmd/elmspan/tools.go
@@ -18,7 +18,7 @@
 
 // Run prints what a process says of itself.
 func (c *statusCmd) Run() error {
-	data, err := call(http.MethodGet, c.Control, "/v1/Status", nil, nil)
+	data, err := c.call(http.MethodGet, c.Control, "/v1/Status", nil, nil)
 	if err == nil {
 		os.Stdout.Write(data)
 	}
--- a/process/process.go
+++ b/process/process.go
@@ -68,6 +68,7 @@
 
 	internal  *grpc.Server
 	control   *http.Server
+	guard     guarded
 	listening []net.Listener
 	metered   net.Listener // of the metrics
 	peers     atomic.Int64 // limiters known
@@ -157,7 +158,11 @@
 			return fmt.Errorf("listeners.control_port: %w", err)
 		}
 		p.listening = append(p.listening, l)
-		p.control = &http.Server{Handler: p.client.Handler(), ReadHeaderTimeout: headerTimes,
+		handler, err := p.guard.open(&p.Tune.Control, p.client.Handler(), p.log)
+		if err != nil {
+			return err
+		}
+		p.control = &http.Server{Handler: handler, ReadHeaderTimeout: headerTimes,
 			IdleTimeout: 5 * time.Second, ErrorLog: slog.NewLogLogger(p.log.Handler(), slog.LevelDebug)}
 	}
 	return nil
@@ -200,7 +205,7 @@
 	var tasks sync.WaitGroup
 	tasks.Go(func() { p.internal.Serve(p.listening[0]) })
 	if p.control != nil {
-		tasks.Go(func() { p.control.Serve(p.listening[1]) })
+		tasks.Go(func() { p.control.Serve(p.guard.listener(p.listening[1])) })
 	}
 	if p.core != nil {
 		tasks.Go(func() { p.core.Run(work) })
@@ -328,6 +333,7 @@
 			p.log.Info("keys read again", "expires", p.ring.Expires())
 		}
 	}
+	p.guard.renew(p.log)
 	if p.Level == nil || p.Tuning == "" {
 		return
 	}
--- a/settings/tuning.go
+++ b/settings/tuning.go
@@ -29,6 +29,7 @@
 	TLS      TLSTuning     `toml:"tls"`
 	Upstream ServerTuning  `toml:"upstream"`
 	Link     LinkTuning    `toml:"link"`
+	Control  ControlTuning `toml:"control"`
 }
 
 // LogTuning is how a process logs.
@@ -61,6 +62,15 @@
 	Work  float64 `toml:"work" default:"0.02" takes:"0.001..1" doc:"Part of the machine's processor (cpu_share) that sending words to other limiters may use."`
 }
 
+// ControlTuning is who may call the operator's interface, and how much of it.
+type ControlTuning struct {
+	Operators string  `toml:"operators" default:"" takes:"file" doc:"File that 'elmspan operators add' wrote. Who calls control_port then needs a token of it. Empty: everybody who reaches the port may do all. Read again when it changes."`
+	Cert      string  `toml:"cert" default:"" takes:"file" doc:"Certificate with its chain, in PEM: control_port then speaks TLS 1.3. Together with control.key. Read again when it changes."`
+	Key       string  `toml:"key" default:"" takes:"file" doc:"Key of control.cert, in PEM."`
+	CallsPerS float64 `toml:"calls_per_s" default:"0" takes:"0..10000" doc:"Calls a second of one caller, by address; twice as many at once. 0: no bound."`
+	InHand    float64 `toml:"in_hand" default:"64" takes:"0..10000" doc:"Calls in hand at a time, of all callers. 0: no bound."`
+}
+
 // wordMs is about how long a processor needs to make and send a word.
 const wordMs = 0.01
 
@@ -146,6 +156,9 @@
 			errs = append(errs, fmt.Errorf("%s: %w", f.name, err))
 		}
 	}
+	if (t.Control.Cert == "") != (t.Control.Key == "") {
+		errs = append(errs, errors.New("control.cert: it goes together with control.key"))
+	}
 	return t, errors.Join(errs...)
 }
 
@@ -169,6 +182,12 @@
 				return fmt.Errorf("%q is no folder that can be read", s)
 			}
 		}
+	case f.takes == "file":
+		if s := f.value.String(); s != "" {
+			if st, err := os.Stat(s); err != nil || st.IsDir() {
+				return fmt.Errorf("%q is no file that can be read", s)
+			}
+		}
 	default:
 		for w := range strings.SplitSeq(f.takes, "|") {
 			if w == f.value.String() {
