--- a/emulator/operator.go
+++ b/emulator/operator.go
@@ -103,6 +103,52 @@
 	return false
 }
 
+// race brings two configurations on top of the same version at the same time, one
+// to a machine and one to the others: one of them is acknowledged at most.
+func (o *operator) race(ctx context.Context, one *node) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	var bodies [2][]byte
+	var revisions [2]uint64
+	for i := range bodies {
+		c := o.config(o.base + 5 + uint64(i))
+		c.Routes[0].TimeoutMs += float64(1 + i) // so that one can be told from the other
+		var err error
+		if bodies[i], err = cbor.Marshal(c); err != nil {
+			return
+		}
+		revisions[i] = c.Revision
+	}
+	var acked [2]bool
+	var both sync.WaitGroup
+	for i := range bodies {
+		both.Go(func() {
+			for k := range callsMost {
+				n := one
+				if i == 1 {
+					n = o.f.nodes[(k*7+int(o.base))%len(o.f.nodes)]
+				}
+				status, _ := o.callAt(n, http.MethodPost, "/v1/Config.Replace", o.base, bodies[i])
+				if acked[i] = status == http.StatusOK; acked[i] || status == http.StatusPreconditionFailed || ctx.Err() != nil {
+					return
+				}
+				time.Sleep(time.Duration(min(k+1, 10)) * 20 * time.Millisecond)
+			}
+		})
+	}
+	both.Wait()
+	switch {
+	case acked[0] && acked[1]:
+		o.f.ledger.Breaks("CONFIG", "two changes on top of version %d are both acknowledged", o.base)
+	case acked[0]:
+		o.base, o.body = revisions[0], bodies[0]
+	case acked[1]:
+		o.base, o.body = revisions[1], bodies[1]
+	default:
+		o.missed++
+	}
+}
+
 // invalid sends configurations that must not be taken.
 func (o *operator) invalid() {
 	o.mu.Lock()
@@ -163,7 +209,10 @@
 }
 
 func (o *operator) call(i int, method, path string, base uint64, body []byte) (int, []byte) {
-	n := o.f.nodes[(i*7+int(base))%len(o.f.nodes)]
+	return o.callAt(o.f.nodes[(i*7+int(base))%len(o.f.nodes)], method, path, base, body)
+}
+
+func (o *operator) callAt(n *node, method, path string, base uint64, body []byte) (int, []byte) {
 	req, err := http.NewRequest(method, "http://"+n.control+path, bytes.NewReader(body))
 	if err != nil {
 		return 0, nil
--- a/emulator/server.go
+++ b/emulator/server.go
@@ -37,9 +37,13 @@
 	waiting  int
 	draining bool
 	dead     bool
-	slow     float64 // work takes so many times as long
-	lose     float64 // share of answers that are lost
-	stutter  float64 // share of answers that are sent again, at once or late
+	slow     float64       // work takes so many times as long
+	lose     float64       // share of answers that are lost
+	stutter  float64       // share of answers that are sent again, at once or late
+	grey     string        // how it fails a share of its requests ...
+	ill      float64       // ... this one
+	forget   time.Duration // connections that rested so long are forgotten; 0: none
+	down     bool          // nothing is taken for now
 	listener net.Listener
 	conns    map[net.Conn]bool
 
@@ -65,8 +69,15 @@
 			return
 		}
 		s.mu.Lock()
-		s.conns[c] = true
+		down := s.down
+		if !down {
+			s.conns[c] = true
+		}
 		s.mu.Unlock()
+		if down {
+			c.Close()
+			continue
+		}
 		go s.serve(c)
 	}
 }
@@ -93,6 +104,18 @@
 	in := bufio.NewReader(c)
 	for {
 		c.SetReadDeadline(time.Now().Add(serverIdle))
+		rested := time.Now()
+		_, err := in.Peek(1)
+		s.mu.Lock()
+		forgotten := s.forget > 0 && time.Since(rested) > s.forget
+		s.mu.Unlock()
+		if forgotten {
+			reset(c)
+			return
+		}
+		if err != nil {
+			return
+		}
 		h, body, err := h1.ReadWhole(in, mostHead)
 		if err != nil || !s.owe(c) || !s.answer(c, h, body) {
 			return
@@ -128,6 +151,10 @@
 		return refuse(400, "no budget")
 	}
 	s.ledger.Arrived(id, s.service)
+	how := s.illness()
+	if how == "shed" {
+		return refuse(503, "shed")
+	}
 	until := time.NewTimer(time.Duration(budget * float64(time.Millisecond)))
 	defer until.Stop()
 	s.mu.Lock()
@@ -163,8 +190,19 @@
 	if dead {
 		return false
 	}
+	if how == "slow" {
+		work *= greySlow
+	}
 	time.Sleep(time.Duration(work * float64(time.Millisecond)))
-	if lost {
+	switch how {
+	case "errors":
+		_, err := fmt.Fprintf(c, "HTTP/1.1 500 x\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", id)
+		return err == nil
+	case "reset":
+		reset(c)
+		return false
+	}
+	if lost || how == "mute" {
 		<-until.C
 		return false
 	}
@@ -185,6 +223,38 @@
 	return err == nil && !draining
 }
 
+// greySlow is how much longer a request takes at a server that is ill so.
+const greySlow = 8
+
+// illness is how the server fails the next request, empty if it does not.
+func (s *server) illness() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.grey == "" || s.rng.Float64() >= s.ill {
+		return ""
+	}
+	return s.grey
+}
+
+// reset ends a connection so that the other side is told.
+func reset(c net.Conn) {
+	if t, ok := c.(*net.TCPConn); ok {
+		t.SetLinger(0)
+	}
+	c.Close()
+}
+
+// flap takes nothing more and cuts what is in hand, or is up again.
+func (s *server) flap(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.down = down; down {
+		for c := range s.conns {
+			c.Close()
+		}
+	}
+}
+
 // owe writes what a stutter left to be written where the next answer is due.
 func (s *server) owe(c net.Conn) bool {
 	again, owed := s.owed.LoadAndDelete(c)
--- a/emulator/trouble.go
+++ b/emulator/trouble.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"fmt"
 	"syscall"
 	"time"
@@ -60,7 +61,13 @@
 		for _, s := range f.platform.pick(f.perm, count) {
 			f.replace(ctx, s, t.Kind == "reuse")
 		}
-	case "lost_answers", "slow", "stutter":
+	case "flap":
+		f.flap(ctx, f.platform.pick(f.perm, count), time.Duration(max(t.X, 0.2)*float64(time.Second)), lasting)
+	case "drain_race":
+		f.drainRace(ctx, count)
+	case "race":
+		f.race(ctx, lasting)
+	case "lost_answers", "slow", "stutter", "grey", "forget":
 		for _, s := range f.platform.pick(f.perm, count) {
 			s.mu.Lock()
 			switch t.Kind {
@@ -68,13 +75,17 @@
 				s.slow = max(2, t.X)
 			case "stutter":
 				s.stutter = max(0.03, t.X)
+			case "grey":
+				s.grey, s.ill = t.How, max(0.03, t.X)
+			case "forget":
+				s.forget = time.Duration(max(0.05, t.X) * float64(time.Second))
 			default:
 				s.lose = max(0.03, t.X)
 			}
 			s.mu.Unlock()
 			time.AfterFunc(lasting, func() {
 				s.mu.Lock()
-				s.slow, s.lose, s.stutter = 1, 0, 0
+				s.slow, s.lose, s.stutter, s.grey, s.forget = 1, 0, 0, "", 0
 				s.mu.Unlock()
 			})
 		}
@@ -94,6 +105,67 @@
 	}
 }
 
+// flap has servers go down and up until a time is over.
+func (f *Fleet) flap(ctx context.Context, servers []*server, each, lasting time.Duration) {
+	down := false
+	for end := time.Now().Add(lasting); time.Now().Before(end); {
+		down = !down
+		for _, s := range servers {
+			s.flap(down)
+		}
+		if !backoff.Sleep(ctx, each) {
+			break
+		}
+	}
+	for _, s := range servers {
+		s.flap(false)
+	}
+}
+
+// leader is the machine whose process leads the core, nil where none says so.
+func (f *Fleet) leader() *node {
+	for _, n := range f.nodes {
+		resp, err := checker.Get("http://" + n.control + "/v1/Status")
+		if err != nil {
+			continue
+		}
+		var s struct{ Core *struct{ Role string } }
+		err = json.NewDecoder(resp.Body).Decode(&s)
+		resp.Body.Close()
+		if err == nil && s.Core != nil && s.Core.Role == "leader" {
+			return n
+		}
+	}
+	return nil
+}
+
+// drainRace has servers drain and, as soon as the list shows it, the leader die: it
+// is started again at once. Nobody may send to them once that was acknowledged.
+func (f *Fleet) drainRace(ctx context.Context, count int) {
+	n := f.leader()
+	for _, s := range f.platform.pick(f.perm, count) {
+		go f.replace(ctx, s, false) // ends with the drain, or the day
+	}
+	if n != nil && backoff.Sleep(ctx, raceAfter) {
+		n.signal(syscall.SIGKILL)
+	}
+}
+
+// race has the leader stand still while two configurations that build on the same
+// version are brought, one to the leader's own side and one to the others'.
+func (f *Fleet) race(ctx context.Context, lasting time.Duration) {
+	n := f.leader()
+	if n == nil {
+		return
+	}
+	n.signal(syscall.SIGSTOP)
+	time.AfterFunc(lasting, func() { n.signal(syscall.SIGCONT) })
+	f.operator.race(ctx, n)
+}
+
+// raceAfter is about how long the leader takes to see that servers drain.
+const raceAfter = 300 * time.Millisecond
+
 // replace starts a server anew under another id: drains the old one first, and
 // takes its address over, for another service, where told.
 func (f *Fleet) replace(ctx context.Context, s *server, reuse bool) {
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -7,6 +7,8 @@
 	"errors"
 	"fmt"
 	"os"
+	"slices"
+	"strings"
 
 	"github.com/BurntSushi/toml"
 )
@@ -78,20 +80,29 @@
 // Trouble strikes at a time, in seconds from the start of traffic. Kinds: kill,
 // term, hup, crash, release, reuse, lost_answers, stutter (a second answer, late), slow, hot_tenant, config,
 // bad_config, revoke, kill_all; freeze (a limiter stands still), cut (the last
-// zone's limiters don't hear the others).
+// zone's limiters don't hear the others); grey (servers fail a part X of their
+// requests, as How says, and say that they are well), flap (servers go down and up
+// each X seconds), forget (servers forget connections that rested X seconds),
+// drain_race (servers drain, and the leader dies and is back at once), race (two
+// configurations on the same version, one at each side, while the leader stands still).
 type Trouble struct {
 	Kind  string  `toml:"kind"`
 	At    float64 `toml:"at"`
 	For   float64 `toml:"for_s"`
 	Count int     `toml:"count"`
 	X     float64 `toml:"x"`
+	How   string  `toml:"how"` // of grey: errors, reset, shed, mute or slow
 }
 
+// Greys are the ways in which a server can be ill while it says that it is well.
+var Greys = []string{"errors", "reset", "shed", "mute", "slow"}
+
 // where tells which of the two plays a kind of trouble.
 var where = map[string]struct{ emulated, simulated bool }{
 	"kill": {true, true}, "kill_all": {true, true}, "crash": {true, true}, "release": {true, true}, "lost_answers": {true, true},
 	"stutter": {true, false}, "slow": {true, true}, "hot_tenant": {true, true}, "freeze": {true, true}, "cut": {false, true}, "term": {true, false},
 	"hup": {true, false}, "reuse": {true, false}, "config": {true, false}, "bad_config": {true, false}, "revoke": {true, false},
+	"grey": {true, false}, "flap": {true, false}, "forget": {true, false}, "drain_race": {true, false}, "race": {true, false},
 }
 
 // Emulated and Simulated tell whether a kind of trouble can be played so.
@@ -162,6 +173,9 @@
 		if _, known := where[t.Kind]; !known {
 			fault("troubles.%d.kind: %q is not known", i, t.Kind)
 		}
+		if t.Kind == "grey" && !slices.Contains(Greys, t.How) {
+			fault("troubles.%d.how: %q: one of %s", i, t.How, strings.Join(Greys, ", "))
+		}
 		if t.At < 0 || t.At > s.LengthS {
 			fault("troubles.%d.at: %v is not within the day", i, t.At)
 		}
