--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -137,7 +137,7 @@
 		head, strays, err = ownAnswer(c.In, r.head)
 	}
 	c.Note(age, c.Died() != nil)
-	if c.Died() != nil && connpool.Rested(age) && time.Since(sent) < forgottenIn {
+	if c.Forgotten(age) && time.Since(sent) < forgottenIn {
 		g.forgotten(m.ID, age)
 	}
 	if strays > 0 {
@@ -225,7 +225,7 @@
 
 // forgotten notes that a server had forgotten a connection, and has others told.
 func (g *Gateway) forgotten(server string, age int) {
-	g.pool.Forgot(age)
+	g.pool.Forgot(age, 0)
 	g.mu.Lock()
 	g.limiter.Forgotten(inMs(g.now()), age)
 	g.mu.Unlock()
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -94,7 +94,7 @@
 		known := g.limiter.Hear(inMs(g.now()), &w)
 		g.mu.Unlock()
 		if known && w.Forgotten != 0 {
-			g.pool.Forgot(int(w.Forgotten))
+			g.pool.Forgot(int(w.Forgotten), w.From)
 		}
 		if !known && g.stranger != nil {
 			g.stranger(from.String())
--- a/internal/connpool/ages.go
+++ b/internal/connpool/ages.go
@@ -1,8 +1,10 @@
 package connpool
 
 import (
+	"errors"
 	"math"
 	"math/bits"
+	"syscall"
 	"time"
 )
 
@@ -68,24 +70,43 @@
 
 // Where servers, or what stands between, forget connections that rested, the next
 // request on one meets a reset, and whoever sent it can't tell whether it ran. For a
-// request that must not run twice that is the end of it. So one such connection is
-// enough, seen here or told of by another limiter, for such requests to be sent for
-// some time only on connections that rested for less, or on new ones. Others go on as
-// [ages] has it: they can be sent again.
-const carefulFor = 20 * time.Second
+// request that must not run twice that is the end of it. So two such connections
+// soon after each other, seen here or told of by other limiters, are enough for such
+// requests to be sent for some time only on connections that rested for less, or on
+// new ones. Others go on as [ages] has it: they can be sent again. One is not enough:
+// now and then a server resets a connection for another reason, and among many
+// limiters there is always one that has just met it.
+const (
+	carefulFor = 10 * time.Second
+	soonAfter  = 2 * time.Second
+)
 
 // careful is how long a connection may have rested for a request that must not run twice.
 type careful struct {
 	limit time.Duration
 	until time.Time
+	last  struct {
+		by    uint64
+		at    time.Time
+		limit time.Duration
+	}
 }
 
-// note takes in that a connection of a group was forgotten.
-func (c *careful) note(now time.Time, group int) {
+// note takes in that a connection of a group was forgotten, as somebody has seen:
+// 0 is this limiter, each time anew; another limiter says so more than once.
+func (c *careful) note(now time.Time, group int, by uint64) {
 	if group < 1 || group >= ageGroups {
 		return // new, or hardly at rest: it broke for another reason
 	}
-	limit := youngest << (group - 1)
+	limit, last := youngest<<(group-1), c.last
+	if by != 0 && by == last.by && now.Sub(last.at) < soonAfter {
+		return
+	}
+	c.last.by, c.last.at, c.last.limit = by, now, limit
+	if now.Sub(last.at) > soonAfter {
+		return
+	}
+	limit = min(limit, last.limit)
 	if now.After(c.until) || limit < c.limit {
 		c.limit = limit
 	}
@@ -98,11 +119,17 @@
 }
 
 // Forgot takes in that a connection of a group ([Conn.Age]) was forgotten while it
-// rested, as seen here or told by another limiter.
-func (p *Pool[K]) Forgot(group int) {
+// rested: as seen here, by 0, or as another limiter tells.
+func (p *Pool[K]) Forgot(group int, by uint64) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	p.careful.note(time.Now(), group)
+	p.careful.note(time.Now(), group, by)
+}
+
+// Forgotten tells whether a connection ended as one does that the other side has
+// forgotten: by a reset. One that is closed in order is told of before.
+func (c *Conn[K]) Forgotten(group int) bool {
+	return Rested(group) && errors.Is(c.Died(), syscall.ECONNRESET)
 }
 
 // Rested tells whether a group is of connections that were idle for some time, so
