--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -32,12 +32,12 @@
 	workWeight = 0.02   // of one answer in a service's typical work
 	fullMs     = 60.0   // a server that was full is left alone so long
 	movedMs    = 8000.0 // another server stands at its address
-	toldWeight = 0.4    // of a failure that another limiter tells of
+	toldWeight = 0.25   // of a failure that another limiter tells of
 	fullWeight = 0.4    // ... of a server that says it is full, and has room as far as is known
 	lateWeight = 0.5    // ... of one that owes an answer for long
-	zoneWeight = 0.6    // of a failure at a server, against its zone; see zone.go
+	zoneWeight = 1.0    // of a failure at a server, against its zone; see zone.go
 	doubtCost  = 0.5    // what nearly enough against a server costs ...
-	onceCost   = 2.0    // ... a request that must not run twice: a failure is the end of it
+	onceCost   = 3.0    // ... a request that must not run twice: a failure is the end of it
 	crossCost  = 0.5    // of typical work: what a server in another zone costs more
 	bulkCost   = 0.7    // ... where answers are large and bytes between zones are paid for ...
 	manyBulk   = 2.0    // ... in a large fleet, where there are enough in the zone
@@ -71,6 +71,8 @@
 	slowAt  float64
 	health  health.Record
 	awayTo  float64 // not at its address
+	goodAt  float64 // it answered last ...
+	badAt   float64 // ... and failed to
 	fullTo  float64
 	warmAt  float64
 	rank    uint8   // 0: this limiter prefers it, 1: others of the zone do, 2: far away in a large fleet
@@ -404,7 +406,11 @@
 		if r != Erred {
 			s.zoneFailed(now, m, zoneWeight)
 		}
-		s.failed(now, m, 1)
+		weight := 1.0
+		if r == Unsent {
+			weight = health.Sure
+		}
+		s.failed(now, m, weight)
 	case Moved:
 		m.awayTo = now + movedMs
 	}
--- a/health/health.go
+++ b/health/health.go
@@ -2,9 +2,10 @@
 // itself can be false either way, so only what it does counts: each failure speaks
 // against it and each answer for it, by how much likelier that would be at a server
 // that is ill than at one that is as the others are (Page, "Continuous Inspection
-// Schemes", 1954: the cumulative sum of log likelihood ratios). So two failures in a
-// row keep a server off, and so do three among ten answers; one among thirty does not,
-// and where all servers of a service fail alike none is kept off for it. A server that
+// Schemes", 1954: the cumulative sum of log likelihood ratios). So three failures in
+// a row keep a server off, and so do four among ten answers; one among twenty does not,
+// and where all servers of a service fail alike none is kept off for it. What leaves no
+// doubt, as a connect in vain, weighs more: two are enough. A server that
 // was kept off comes back on trial: the next failure keeps it off for twice as long.
 //
 // It does no I/O, reads no clock and draws no numbers; times are in milliseconds.
@@ -17,14 +18,17 @@
 	usualLow  = 0.02 // what fails at servers that are well, at the least ...
 	usualMost = 0.25 // ... and at the most
 	usualPart = 0.01 // of one request in the usual share
-	keepOffAt = 4.5  // sum at which a server is kept off: two failures in a row, about
-	trialAt   = 2.5  // sum that a server comes back with: one failure keeps it off again
+	keepOffAt = 6.5  // sum at which a server is kept off: three failures among few answers
+	trialAt   = 4.5  // sum that a server comes back with: one failure keeps it off again
 	fadeMs    = 3000.0
 	offMs     = 1000.0 // the first time; doubled with each further one
 	offMost   = 8000.0
 	recovers  = 4 * offMost // without a failure: the next time is the first one again
 )
 
+// Sure is the weight of a failure that leaves no doubt.
+const Sure = 1.3
+
 // Usual is the share of requests to a service that fail, at all its servers
 // together. The zero value knows of none.
 type Usual struct{ share float64 }
@@ -64,8 +68,8 @@
 	}
 }
 
-// Failed counts a failure, weighed: 1 for what is sure, less for what is told or may
-// have other causes. spare tells whether the service can do without this server: one
+// Failed counts a failure, weighed: 1 for a request that failed, [Sure] where nothing
+// answers at all, less for what is told or may have other causes. spare tells whether the service can do without this server: one
 // that it can't is not kept off. It tells whether the server is kept off from now on.
 func (r *Record) Failed(now, weight float64, u *Usual, spare bool) bool {
 	r.fade(now)
