--- a/dataplane/balance/balance.go
+++ b/dataplane/balance/balance.go
@@ -35,9 +35,9 @@
 	toldWeight = 0.25   // of a failure that another limiter tells of
 	fullWeight = 0.4    // ... of a server that says it is full, and has room as far as is known
 	lateWeight = 0.5    // ... of one that owes an answer for long
-	zoneWeight = 1.0    // of a failure at a server, against its zone; see zone.go
+	zoneWeight = 0.6    // of a failure at a server, against its zone; see zone.go
 	doubtCost  = 0.5    // what nearly enough against a server costs ...
-	onceCost   = 3.0    // ... a request that must not run twice: a failure is the end of it
+	onceCost   = 2.0    // ... a request that must not run twice: a failure is the end of it
 	crossCost  = 0.5    // of typical work: what a server in another zone costs more
 	bulkCost   = 0.7    // ... where answers are large and bytes between zones are paid for ...
 	manyBulk   = 2.0    // ... in a large fleet, where there are enough in the zone
