--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"maps"
+	"math/rand/v2"
 	"slices"
 )
 
@@ -11,8 +12,8 @@
 func (n *Node) Clone() *Node {
 	c := *n
 	c.entries, c.out = slices.Clip(n.entries), slices.Clone(n.out)
-	rng := *n.rng
-	c.rng = &rng
+	src := *n.src
+	c.src, c.rng = &src, rand.New(&src)
 	c.votes = maps.Clone(n.votes)
 	if n.peers != nil {
 		c.peers = make(map[ID]*progress, len(n.peers))
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -36,7 +36,8 @@
 // Node is one member. It is not safe for concurrent use.
 type Node struct {
 	cfg Config
-	rng *rand.Rand
+	src *rand.PCG
+	rng *rand.Rand // draws from src
 
 	hard    HardState
 	snap    Snapshot
@@ -79,7 +80,8 @@
 	if cfg.MostEntries == 0 {
 		cfg.MostEntries = mostEntries
 	}
-	n := &Node{cfg: cfg, rng: rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))), hard: s.Hard, snap: s.Snapshot, entries: s.Entries}
+	src := rand.NewPCG(cfg.Seed, uint64(cfg.ID))
+	n := &Node{cfg: cfg, src: src, rng: rand.New(src), hard: s.Hard, snap: s.Snapshot, entries: s.Entries}
 	n.commit, n.applied, n.stored = s.Snapshot.Index, s.Snapshot.Index, n.last()
 	n.findMembers()
 	n.follow(0)
