Read once more: one lock a try, the age-group check in one place

When an answer is late is asked for under the lock that a try is launched with; connpool had the check of an age group twice. No behaviour changes.

--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -32,6 +32,7 @@
 	sentAt time.Time
 	load   float64
 	hedge  bool
+	late   time.Duration // after which it speaks against the server; 0: never
 	outcome
 }
 
@@ -135,6 +136,9 @@
 		return nil, false
 	}
 	at := &attempt{member: m, sentAt: time.Now(), load: m.Load(inMs(now)) - 1, hedge: hedge, host: g.pool.Host(m.ID)}
+	if wait, counts := f.course.LateMs(inMs(now), m); counts {
+		at.late = millis(wait)
+	}
 	g.mu.Unlock()
 	at.ctx, at.cancel = context.WithCancel(context.Background())
 	f.out = append(f.out, at)
@@ -150,11 +154,8 @@
 func (f *flight) work(at *attempt) {
 	g := f.g
 	at.outcome = outcome{result: balance.Unsent}
-	g.mu.Lock()
-	wait, counts := f.course.LateMs(inMs(g.now()), at.member)
-	g.mu.Unlock()
-	if counts {
-		late := time.AfterFunc(millis(wait), func() {
+	if at.late > 0 {
+		late := time.AfterFunc(at.late, func() {
 			g.mu.Lock()
 			defer g.mu.Unlock()
 			g.limiter.Overdue(inMs(g.now()), at.member)
--- a/internal/connpool/ages.go
+++ b/internal/connpool/ages.go
@@ -95,7 +95,7 @@
 // note takes in that a connection of a group was forgotten, as somebody has seen:
 // 0 is this limiter, each time anew; another limiter says so more than once.
 func (c *careful) note(now time.Time, group int, by uint64) {
-	if group < 1 || group >= ageGroups {
+	if !rested(group) {
 		return // new, or hardly at rest: it broke for another reason
 	}
 	limit, last := youngest<<(group-1), c.last
@@ -129,12 +129,12 @@
 // Forgotten tells whether a connection ended as one does that the other side has
 // forgotten: by a reset. One that is closed in order is told of before.
 func (c *Conn[K]) Forgotten(group int) bool {
-	return Rested(group) && errors.Is(c.Died(), syscall.ECONNRESET)
+	return rested(group) && errors.Is(c.Died(), syscall.ECONNRESET)
 }
 
-// Rested tells whether a group is of connections that were idle for some time, so
+// rested tells whether a group is of connections that were idle for some time, so
 // that one that broke at once may have been forgotten.
-func Rested(group int) bool { return group >= 1 && group < ageGroups }
+func rested(group int) bool { return group >= 1 && group < ageGroups }
 
 // TakeFresh is [Pool.Take] for a request that must not run twice.
 func (p *Pool[K]) TakeFresh(h *Host[K]) *Conn[K] {
