The store on disk: folder synced, a seal, contents held against a digest

Own storage.Storage that syncs the folder at a file's first sync and the manifest before it becomes current, no renames; each batch carries a number and a digest of all contents, a seal beside the database the highest promised number. RecoverFile is dropped: it builds state from whatever tables there are.

--- a/agreement/logstore/fuzz_test.go
+++ b/agreement/logstore/fuzz_test.go
@@ -20,9 +20,11 @@
 			t.Fatalf("%v is no ErrCorrupt", err)
 		}
 		var b leveldb.Batch
-		if err := put(&b, []byte("k"), agreement.Entry{Index: index, Data: data}); err != nil {
+		record, err := encode([]byte("k"), agreement.Entry{Index: index, Data: data})
+		if err != nil {
 			t.Fatal(err)
 		}
+		b.Put([]byte("k"), record)
 		var got value
 		if err := b.Replay(&got); err != nil {
 			t.Fatal(err)
--- /dev/null
+++ b/agreement/logstore/storage.go
@@ -0,0 +1,353 @@
+package logstore
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"io"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+
+	"github.com/syndtr/goleveldb/leveldb/storage"
+)
+
+// files is the folder as goleveldb sees it. goleveldb's own storage loses
+// acknowledged writes with the power, so this one differs from it:
+//
+//   - The first sync of a file syncs its folder too: without it a new journal is
+//     a file of synced bytes that may have no name.
+//   - A manifest is synced before it becomes the current one.
+//   - CURRENT is never renamed into place: each manifest gets a small file of its
+//     own, CURRENT.n, and the highest of them counts (goleveldb reads the same
+//     names). So no moment exists in which a lost rename leaves no pointer at all.
+//   - After the first write, sync or new file that failed, everything that
+//     changes the disk is refused (it is fenced). goleveldb would try again on
+//     the same file, and a second fsync says nothing of pages that the first one
+//     gave up. The store opens it anew instead, and reads.
+//
+// Removals aren't synced: what is removed is no longer named by the manifest,
+// which is on disk by then, and a file that comes back is passed over.
+type files struct {
+	fs  fileSystem
+	dir string
+
+	mu      sync.Mutex
+	err     error              // the first failure to write; nothing is written after it
+	ioErr   error              // the first failure that isn't damage
+	made    []storage.FileDesc // not named by any manifest yet
+	pointed bool               // SetMeta was called
+	closed  bool
+}
+
+const currentName = "CURRENT"
+
+var errClosed = errors.New("logstore: the files are closed")
+
+func (s *files) path(fd storage.FileDesc) string { return filepath.Join(s.dir, fd.String()) }
+
+// failed notes a failure to write.
+func (s *files) failed(err error) error {
+	if err != nil {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.err == nil {
+			s.err = err
+		}
+	}
+	return err
+}
+
+// unread notes a failure to read that says nothing about what is on the disk:
+// no permission, too many files open. A medium that can't read a block of a file
+// (EIO) is damage like any other.
+func (s *files) unread(err error) error {
+	var no syscall.Errno
+	if errors.As(err, &no) && no != syscall.ENOENT && no != syscall.EIO {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.ioErr == nil {
+			s.ioErr = err
+		}
+	}
+	return err
+}
+
+// fault is the failure of the disk that stands behind a failure of the
+// database; nil where there is none, which leaves damage.
+func (s *files) fault() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.err != nil {
+		return s.err
+	}
+	return s.ioErr
+}
+
+// fenced is why nothing may be written any more, nil while it may.
+func (s *files) fenced() error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return errClosed
+	}
+	return s.err
+}
+
+// shut has nothing written any more, and takes back what no manifest names, so
+// that tries on a full disk don't fill it further.
+func (s *files) shut() {
+	s.mu.Lock()
+	s.closed = true
+	made, pointed := s.made, s.pointed
+	s.mu.Unlock()
+	if !pointed {
+		for _, fd := range made {
+			s.fs.Remove(s.path(fd))
+		}
+	}
+}
+
+func (s *files) Lock() (storage.Locker, error) { return unlocked{}, nil } // the store holds the lock
+func (s *files) Log(string)                    {}
+func (s *files) Close() error                  { return nil }
+
+type unlocked struct{}
+
+func (unlocked) Unlock() {}
+
+// SetMeta makes a manifest the current one.
+func (s *files) SetMeta(fd storage.FileDesc) error {
+	if err := s.fenced(); err != nil {
+		return err
+	}
+	s.mu.Lock()
+	s.pointed = true
+	s.mu.Unlock()
+	return s.failed(s.point(fd))
+}
+
+func (s *files) point(fd storage.FileDesc) error {
+	m, err := s.fs.Update(s.path(fd)) // goleveldb flushes its manifest, and doesn't sync it
+	if err != nil {
+		return err
+	}
+	if err := errors.Join(m.Sync(), m.Close()); err != nil {
+		return err
+	}
+	name := currentName + "." + strconv.FormatInt(fd.Num, 10)
+	f, err := s.fs.Create(filepath.Join(s.dir, name))
+	if err != nil {
+		return err
+	}
+	_, err = io.WriteString(f, fd.String()+"\n")
+	if err := errors.Join(err, f.Sync(), f.Close()); err != nil {
+		return err
+	}
+	if err := s.fs.SyncDir(s.dir); err != nil {
+		return err
+	}
+	all, err := s.pointers()
+	for _, p := range all {
+		if p.name != name {
+			s.fs.Remove(filepath.Join(s.dir, p.name))
+		}
+	}
+	return err
+}
+
+type pointer struct {
+	name string
+	num  int64 // of the manifest; -1: what is in the file decides
+}
+
+// pointers lists what may name the current manifest, the newest first.
+func (s *files) pointers() ([]pointer, error) {
+	names, err := s.fs.Names(s.dir)
+	if err != nil {
+		return nil, s.unread(err)
+	}
+	var out []pointer
+	for _, n := range names {
+		if num, err := strconv.ParseInt(strings.TrimPrefix(n, currentName+"."), 10, 64); err == nil && strings.HasPrefix(n, currentName) {
+			out = append(out, pointer{n, num})
+		} else if n == currentName {
+			out = append(out, pointer{n, -1})
+		}
+	}
+	slices.SortFunc(out, func(a, b pointer) int { return int(max(-1, min(1, b.num-a.num))) })
+	return out, nil
+}
+
+// GetMeta returns the current manifest: of the files that name one, the newest
+// that can be read. What it leads to is checked against the seal.
+func (s *files) GetMeta() (best storage.FileDesc, err error) {
+	all, err := s.pointers()
+	if err != nil {
+		return best, err
+	}
+	for _, p := range all {
+		f, err := s.fs.Open(filepath.Join(s.dir, p.name))
+		if err != nil {
+			s.unread(err)
+			continue
+		}
+		text, err := io.ReadAll(io.LimitReader(f, 64))
+		f.Close()
+		fd, ok := parse(strings.TrimSuffix(string(text), "\n"))
+		if err != nil || !ok || fd.Type != storage.TypeManifest || p.num >= 0 && fd.Num != p.num {
+			continue
+		}
+		if m, err := s.fs.Open(s.path(fd)); err != nil {
+			s.unread(err)
+		} else if m.Close(); best.Zero() || fd.Num > best.Num {
+			best = fd
+		}
+	}
+	if best.Zero() {
+		if len(all) > 0 {
+			return best, &storage.ErrCorrupted{Err: errors.New("no file names the current manifest")}
+		}
+		return best, os.ErrNotExist
+	}
+	return best, nil
+}
+
+// List lists goleveldb's files of some types.
+func (s *files) List(t storage.FileType) (out []storage.FileDesc, err error) {
+	names, err := s.fs.Names(s.dir)
+	if err != nil {
+		return nil, s.unread(err)
+	}
+	for _, n := range names {
+		if fd, ok := parse(n); ok && fd.Type&t != 0 {
+			out = append(out, fd)
+		}
+	}
+	return out, nil
+}
+
+// parse reads a file's name: NNNNNN.log, .ldb, .tmp or MANIFEST-NNNNNN.
+func parse(name string) (fd storage.FileDesc, ok bool) {
+	number, kind, _ := strings.Cut(name, ".")
+	if n, is := strings.CutPrefix(name, "MANIFEST-"); is {
+		number, kind = n, "manifest"
+	}
+	num, err := strconv.ParseInt(number, 10, 64)
+	t := map[string]storage.FileType{"manifest": storage.TypeManifest, "log": storage.TypeJournal, "ldb": storage.TypeTable, "tmp": storage.TypeTemp}[kind]
+	fd = storage.FileDesc{Type: t, Num: num}
+	return fd, err == nil && t != 0 && fd.String() == name
+}
+
+// Open opens a file for reading.
+func (s *files) Open(fd storage.FileDesc) (storage.Reader, error) {
+	f, err := s.fs.Open(s.path(fd))
+	if err != nil {
+		return nil, s.unread(err)
+	}
+	if fd.Type == storage.TypeTable {
+		if err := checkFooter(f); err != nil {
+			f.Close()
+			return nil, &storage.ErrCorrupted{Fd: fd, Err: err}
+		}
+	}
+	return f, nil
+}
+
+// The end of a table: handles of two blocks, each an offset and a length, and
+// the magic number.
+const (
+	footerSize   = 48
+	footerMagic  = 8
+	blockTrailer = 5
+)
+
+// checkFooter finds handles that point out of the file. The footer has no
+// checksum: goleveldb would ask for as much memory as a flipped length says.
+func checkFooter(f file) error {
+	size, err := f.Seek(0, io.SeekEnd)
+	if err != nil {
+		return err
+	}
+	if size < footerSize {
+		return errors.New("the table is cut short")
+	}
+	var b [footerSize]byte
+	if _, err := f.ReadAt(b[:], size-footerSize); err != nil {
+		return err
+	}
+	rest := b[:footerSize-footerMagic]
+	for range 2 {
+		offset, n := binary.Uvarint(rest)
+		length, m := binary.Uvarint(rest[max(0, n):])
+		if n <= 0 || m <= 0 || offset > uint64(size) || length > uint64(size) || offset+length+blockTrailer > uint64(size)-footerSize {
+			return fmt.Errorf("a block of %d bytes at %d in a table of %d", length, offset, size)
+		}
+		rest = rest[n+m:]
+	}
+	_, err = f.Seek(0, io.SeekStart)
+	return err
+}
+
+// Create makes a file, empty where it was there.
+func (s *files) Create(fd storage.FileDesc) (storage.Writer, error) {
+	if err := s.fenced(); err != nil {
+		return nil, err
+	}
+	f, err := s.fs.Create(s.path(fd))
+	if err != nil {
+		return nil, s.failed(err)
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.pointed {
+		s.made = append(s.made, fd)
+	}
+	return &writer{file: f, s: s}, nil
+}
+
+// Remove removes a file.
+func (s *files) Remove(fd storage.FileDesc) error {
+	if err := s.fenced(); err != nil {
+		return err
+	}
+	return s.fs.Remove(s.path(fd))
+}
+
+// Rename is what goleveldb does only to recover, which is not done here.
+func (s *files) Rename(_, _ storage.FileDesc) error { return errors.ErrUnsupported }
+
+type writer struct {
+	file
+	s     *files
+	named bool // its name lasts
+}
+
+func (w *writer) Write(p []byte) (int, error) {
+	if err := w.s.fenced(); err != nil {
+		return 0, err
+	}
+	n, err := w.file.Write(p)
+	return n, w.s.failed(err)
+}
+
+// Sync makes what was written last, and the name of the file.
+func (w *writer) Sync() error {
+	if err := w.s.fenced(); err != nil {
+		return err
+	}
+	if err := w.file.Sync(); err != nil {
+		return w.s.failed(err)
+	}
+	if !w.named {
+		if err := w.s.fs.SyncDir(w.s.dir); err != nil {
+			return w.s.failed(err)
+		}
+		w.named = true
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/durable/data_other.go
@@ -0,0 +1,8 @@
+//go:build !linux
+
+package durable
+
+import "os"
+
+// SyncData makes a file's bytes and length last.
+func SyncData(f *os.File) error { return f.Sync() }
--- /dev/null
+++ b/internal/durable/durable_test.go
@@ -0,0 +1,48 @@
+package durable
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+)
+
+// A file is replaced whole, with the mode asked for; nothing is left beside it;
+// a link stays one; a device isn't renamed over.
+func TestWriteFile(t *testing.T) {
+	dir := t.TempDir()
+	path, link := filepath.Join(dir, "a"), filepath.Join(dir, "link")
+	if err := os.WriteFile(path, []byte("old and longer"), 0o644); err != nil {
+		t.Fatal(err)
+	}
+	if err := os.Symlink(path, link); err != nil {
+		t.Fatal(err)
+	}
+	if err := WriteFile(link, []byte("new"), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	data, err := os.ReadFile(path)
+	if err != nil || string(data) != "new" {
+		t.Errorf("%q, %v", data, err)
+	}
+	if info, err := os.Stat(path); err != nil || info.Mode().Perm() != 0o600 {
+		t.Errorf("%v, %v", info, err)
+	}
+	if _, err := os.Readlink(link); err != nil {
+		t.Error(err)
+	}
+	if names, _ := os.ReadDir(dir); len(names) != 2 {
+		t.Errorf("left over: %v", names)
+	}
+	if err := WriteFile(os.DevNull, []byte("x"), 0o600); err != nil {
+		t.Error(err)
+	}
+	if info, err := os.Stat(os.DevNull); err != nil || info.Mode().IsRegular() {
+		t.Fatal("the device was replaced by a file")
+	}
+	if err := Remove(path); err != nil {
+		t.Error(err)
+	}
+	if err := WriteFile(filepath.Join(dir, "no", "b"), nil, 0o600); err == nil {
+		t.Error("written into a folder that isn't there")
+	}
+}
