--- a/agreement/logstore/storage.go
+++ b/agreement/logstore/storage.go
@@ -62,12 +62,11 @@
 	return err
 }
 
-// unread notes a failure to read that says nothing about what is on the disk:
-// no permission, too many files open. A medium that can't read a block of a file
-// (EIO) is damage like any other.
+// unread notes a failure to read that says nothing about what is on the disk: no
+// permission, too many files open, a device that is gone. What is missing or ends
+// too soon is damage, and so is a block that the medium can't read (EIO).
 func (s *files) unread(err error) error {
-	var no syscall.Errno
-	if errors.As(err, &no) && no != syscall.ENOENT && no != syscall.EIO {
+	if err != nil && !errors.Is(err, os.ErrNotExist) && !errors.Is(err, io.EOF) && !errors.Is(err, syscall.EIO) {
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		if s.ioErr == nil {
@@ -197,6 +196,7 @@
 			continue
 		}
 		text, err := io.ReadAll(io.LimitReader(f, 64))
+		s.unread(err)
 		f.Close()
 		fd, ok := parse(strings.TrimSuffix(string(text), "\n"))
 		if err != nil || !ok || fd.Type != storage.TypeManifest || p.num >= 0 && fd.Num != p.num {
@@ -252,10 +252,26 @@
 	if fd.Type == storage.TypeTable {
 		if err := checkFooter(f); err != nil {
 			f.Close()
+			s.unread(err)
 			return nil, &storage.ErrCorrupted{Fd: fd, Err: err}
 		}
 	}
-	return f, nil
+	return reader{f, s}, nil
+}
+
+type reader struct {
+	file
+	s *files
+}
+
+func (r reader) Read(p []byte) (int, error) {
+	n, err := r.file.Read(p)
+	return n, r.s.unread(err)
+}
+
+func (r reader) ReadAt(p []byte, at int64) (int, error) {
+	n, err := r.file.ReadAt(p, at)
+	return n, r.s.unread(err)
 }
 
 // The end of a table: handles of two blocks, each an offset and a length, and
@@ -274,7 +290,7 @@
 		return err
 	}
 	if size < footerSize {
-		return errors.New("the table is cut short")
+		return fmt.Errorf("the table is cut short: %w", io.EOF)
 	}
 	var b [footerSize]byte
 	if _, err := f.ReadAt(b[:], size-footerSize); err != nil {
@@ -285,7 +301,7 @@
 		offset, n := binary.Uvarint(rest)
 		length, m := binary.Uvarint(rest[max(0, n):])
 		if n <= 0 || m <= 0 || offset > uint64(size) || length > uint64(size) || offset+length+blockTrailer > uint64(size)-footerSize {
-			return fmt.Errorf("a block of %d bytes at %d in a table of %d", length, offset, size)
+			return fmt.Errorf("a block of %d bytes at %d in a table of %d: %w", length, offset, size, io.EOF)
 		}
 		rest = rest[n+m:]
 	}
