--- /dev/null
+++ b/agreement/logstore/bench_test.go
@@ -0,0 +1,75 @@
+package logstore
+
+import (
+	"fmt"
+	"sync/atomic"
+	"testing"
+
+	"example.org/elmspan/agreement"
+)
+
+// counting counts the syncs of the machine's disk.
+type counting struct {
+	osFS
+	files, dirs *atomic.Int64
+}
+
+type countedFile struct {
+	file
+	n *atomic.Int64
+}
+
+func (f countedFile) Sync() error {
+	f.n.Add(1)
+	return f.file.Sync()
+}
+
+func (c counting) count(f file, err error) (file, error) {
+	if err != nil {
+		return nil, err
+	}
+	return countedFile{f, c.files}, nil
+}
+
+func (c counting) Create(path string) (file, error) { return c.count(c.osFS.Create(path)) }
+func (c counting) Update(path string) (file, error) { return c.count(c.osFS.Update(path)) }
+func (c counting) SyncDir(dir string) error {
+	c.dirs.Add(1)
+	return c.osFS.SyncDir(dir)
+}
+
+// The cost of a Save on this machine's disk, with the syncs of files and folders
+// for each, those of goleveldb's compaction among them.
+func BenchmarkSave(b *testing.B) {
+	for _, size := range []int{200, 41 << 10} {
+		b.Run(fmt.Sprintf("%dB", size), func(b *testing.B) {
+			fs := counting{files: &atomic.Int64{}, dirs: &atomic.Int64{}}
+			s, err := openAt(fs, b.TempDir()+"/log")
+			if err != nil {
+				b.Fatal(err)
+			}
+			defer s.Close()
+			if err := s.Begin(7, agreement.Snapshot{}); err != nil {
+				b.Fatal(err)
+			}
+			data := make([]byte, size)
+			fs.files.Store(0)
+			fs.dirs.Store(0)
+			b.ReportAllocs()
+			i := uint64(0)
+			for b.Loop() {
+				i++
+				if err := s.Save(agreement.Ready{Entries: []agreement.Entry{{Index: i, Term: 1, Data: data}}}); err != nil {
+					b.Fatal(err)
+				}
+				if i%64 == 0 { // as a member does
+					if err := s.Compact(agreement.Snapshot{Index: i, Term: 1, Data: data}); err != nil {
+						b.Fatal(err)
+					}
+				}
+			}
+			b.ReportMetric(float64(fs.files.Load())/float64(i), "filesyncs/op")
+			b.ReportMetric(float64(fs.dirs.Load())/float64(i), "dirsyncs/op")
+		})
+	}
+}
