Keys, operators' book and exports are written to last

Cause: keys were renamed into place without any sync, exports written in place: after a loss of power a key file may be empty. internal/durable: bytes synced, renamed, folder synced. Files of an authority are written in a fixed order now.

--- a/cmd/elmspan/state.go
+++ b/cmd/elmspan/state.go
@@ -9,6 +9,7 @@
 
 	"example.org/elmspan/agreement/logstore"
 	"example.org/elmspan/controlplane"
+	"example.org/elmspan/internal/durable"
 	"example.org/elmspan/settings"
 )
 
@@ -47,7 +48,7 @@
 	if err != nil {
 		return err
 	}
-	if err := os.WriteFile(c.Out, data, 0o600); err != nil {
+	if err := durable.WriteFile(c.Out, data, 0o600); err != nil {
 		return err
 	}
 	fmt.Printf("%s: revision %d, %d versions\n", c.Out, state.Revision, len(state.Versions()))
--- a/internal/durable/durable.go
+++ b/internal/durable/durable.go
@@ -39,6 +39,23 @@
 	return SyncDir(dir)
 }
 
+// MkdirAll makes a folder and those above it that are missing, each of them to last.
+func MkdirAll(path string, perm fs.FileMode) error {
+	if info, err := os.Stat(path); err == nil && info.IsDir() {
+		return nil
+	}
+	up := filepath.Dir(path)
+	if up != path {
+		if err := MkdirAll(up, perm); err != nil {
+			return err
+		}
+	}
+	if err := os.Mkdir(path, perm); err != nil && !errors.Is(err, fs.ErrExist) {
+		return err
+	}
+	return SyncDir(up)
+}
+
 // Remove removes a file for good: it does not come back with the power.
 func Remove(path string) error {
 	if err := os.Remove(path); err != nil {
--- a/internal/durable/durable_test.go
+++ b/internal/durable/durable_test.go
@@ -42,7 +42,19 @@
 	if err := Remove(path); err != nil {
 		t.Error(err)
 	}
-	if err := WriteFile(filepath.Join(dir, "no", "b"), nil, 0o600); err == nil {
+	deep := filepath.Join(dir, "x", "y")
+	if err := WriteFile(filepath.Join(deep, "b"), nil, 0o600); err == nil {
 		t.Error("written into a folder that isn't there")
 	}
+	for range 2 {
+		if err := MkdirAll(deep, 0o700); err != nil {
+			t.Error(err)
+		}
+	}
+	if err := WriteFile(filepath.Join(deep, "b"), nil, 0o600); err != nil {
+		t.Error(err)
+	}
+	if err := MkdirAll(filepath.Join(deep, "b", "c"), 0o700); err == nil {
+		t.Error("a folder was made in a file")
+	}
 }
--- a/keys/authority.go
+++ b/keys/authority.go
@@ -23,6 +23,8 @@
 	"path/filepath"
 	"strings"
 	"time"
+
+	"example.org/elmspan/internal/durable"
 )
 
 // Files of an authority's folder, and of a machine's.
@@ -46,7 +48,7 @@
 	if _, err := os.Stat(filepath.Join(dir, caKeyFile)); !errors.Is(err, fs.ErrNotExist) {
 		return errors.Join(ErrExists, err)
 	}
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := durable.MkdirAll(dir, 0o700); err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
 	cert, key, err := newCA(now)
@@ -57,7 +59,7 @@
 	if err != nil {
 		return err
 	}
-	return write(dir, map[string][]byte{caFile: cert, caKeyFile: key, wordsFile: words})
+	return write(dir, named{wordsFile, words}, named{caFile, cert}, named{caKeyFile, key}) // the last one is looked for above
 }
 
 // Issue writes a machine's folder: its certificate, key, and what it trusts.
@@ -99,10 +101,10 @@
 	if err != nil {
 		return err
 	}
-	if err := os.MkdirAll(out, 0o700); err != nil {
+	if err := durable.MkdirAll(out, 0o700); err != nil {
 		return fmt.Errorf("keys: %w", err)
 	}
-	return write(out, map[string][]byte{caFile: caPEM, wordsFile: words, certFile: pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der}), keyFile: keyPEM})
+	return write(out, named{caFile, caPEM}, named{wordsFile, words}, named{certFile, pem.EncodeToMemory(&pem.Block{Type: "CERTIFICATE", Bytes: der})}, named{keyFile, keyPEM})
 }
 
 // Stage is a step of a change of keys.
@@ -158,15 +160,15 @@
 		if err != nil {
 			return "", err
 		}
-		return Added, write(dir, map[string][]byte{nextFile: key, caFile: append(caPEM, cert...), wordsFile: append([]byte(lines[0]+"\n"), more...)})
+		return Added, write(dir, named{caFile, append(caPEM, cert...)}, named{wordsFile, append([]byte(lines[0]+"\n"), more...)}, named{nextFile, key})
 	case err == nil:
 		ca, w := swapped(len(blocks) - 1)
-		if err := write(dir, map[string][]byte{caKeyFile: next, caFile: ca, wordsFile: w}); err != nil {
+		if err := write(dir, named{caKeyFile, next}, named{caFile, ca}, named{wordsFile, w}); err != nil {
 			return "", err
 		}
-		return InUse, os.Remove(filepath.Join(dir, nextFile))
+		return InUse, durable.Remove(filepath.Join(dir, nextFile))
 	}
-	return Dropped, write(dir, map[string][]byte{caFile: blocks[0], wordsFile: []byte(lines[0] + "\n")})
+	return Dropped, write(dir, named{caFile, blocks[0]}, named{wordsFile, []byte(lines[0] + "\n")})
 }
 
 // ---- Pieces ----
@@ -257,14 +259,16 @@
 	return out, nil
 }
 
-// write writes each file whole or not at all.
-func write(dir string, files map[string][]byte) error {
-	for name, data := range files {
-		path := filepath.Join(dir, name)
-		if err := os.WriteFile(path+".new", data, 0o600); err != nil {
-			return fmt.Errorf("keys: %w", err)
-		}
-		if err := os.Rename(path+".new", path); err != nil {
+type named struct {
+	name string
+	data []byte
+}
+
+// write writes each file whole or not at all, one after the other, and each to
+// survive a loss of power.
+func write(dir string, files ...named) error {
+	for _, f := range files {
+		if err := durable.WriteFile(filepath.Join(dir, f.name), f.data, 0o600); err != nil {
 			return fmt.Errorf("keys: %w", err)
 		}
 	}
--- a/operators/book.go
+++ b/operators/book.go
@@ -15,13 +15,14 @@
 	"errors"
 	"fmt"
 	"os"
-	"path/filepath"
 	"regexp"
 	"slices"
 	"sync/atomic"
 	"time"
 
 	"github.com/BurntSushi/toml"
+
+	"example.org/elmspan/internal/durable"
 )
 
 // Role is what an operator may do.
@@ -125,7 +126,7 @@
 	return list, nil
 }
 
-// Save writes a file anew, whole or not at all.
+// Save writes a file anew, whole or not at all; it survives a loss of power.
 func Save(path string, list []Operator) error {
 	var b bytes.Buffer
 	b.WriteString("# Who may call the operator's interface. Tokens are shown when they are made, and are not in here.\n")
@@ -135,16 +136,7 @@
 	if _, err := Parse(b.Bytes()); err != nil {
 		return fmt.Errorf("operators: %w", err)
 	}
-	t, err := os.CreateTemp(filepath.Dir(path), ".operators-")
-	if err != nil {
-		return fmt.Errorf("operators: %w", err)
-	}
-	_, err = t.Write(b.Bytes())
-	if err = errors.Join(err, t.Sync(), t.Close()); err == nil {
-		err = os.Rename(t.Name(), path)
-	}
-	if err != nil {
-		os.Remove(t.Name())
+	if err := durable.WriteFile(path, b.Bytes(), 0o600); err != nil {
 		return fmt.Errorf("operators: %w", err)
 	}
 	return nil
