--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -19,9 +19,18 @@
 		c.peers = make(map[ID]*progress, len(n.peers))
 		for id, p := range n.peers {
 			q := *p
+			if p.snapshot != nil {
+				x := *p.snapshot
+				q.snapshot = &x
+			}
 			c.peers[id] = &q
 		}
 	}
+	if n.incoming != nil {
+		a := *n.incoming
+		a.snap.Data = append(make([]byte, 0, cap(a.snap.Data)), a.snap.Data...)
+		c.incoming = &a
+	}
 	return &c
 }
 
@@ -38,8 +47,8 @@
 		}
 		return 0
 	}
-	num(n.hard.Term, uint64(n.hard.Vote), n.snap.Index, n.snap.Term, uint64(n.role), uint64(n.leader), n.commit, n.applied, n.stored,
-		truth(n.hardDirty), truth(n.prevote), n.round, uint64(len(n.entries)))
+	num(n.hard.Term, uint64(n.hard.Vote), n.snap.Index, n.snap.Term, n.base, n.baseTerm, uint64(n.role), uint64(n.leader), n.commit, n.applied, n.stored,
+		truth(n.hardDirty), truth(n.prevote), n.round, n.refused, uint64(len(n.entries)))
 	for _, e := range n.entries {
 		b = appendEntry(b, e)
 	}
@@ -51,7 +60,15 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out)
+		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.snapshot != nil))
+		if x := p.snapshot; x != nil {
+			num(x.snap.Index, x.sum, uint64(x.acked), uint64(x.sent), uint64(x.hold), truth(x.tries > 0))
+		}
+	}
+	num(truth(n.incoming != nil))
+	if a := n.incoming; a != nil {
+		num(a.snap.Index, a.snap.Term, a.size, a.sum, a.term, uint64(len(a.snap.Data)))
+		b = append(b, a.snap.Data...)
 	}
 	return b
 }
@@ -65,7 +82,7 @@
 	if m.Force {
 		flags |= 2
 	}
-	for _, v := range []uint64{flags, uint64(m.From), uint64(m.To), m.Term, m.Index, m.LogTerm, m.Commit, m.Round, uint64(len(m.Entries))} {
+	for _, v := range []uint64{flags, uint64(m.From), uint64(m.To), m.Term, m.Index, m.LogTerm, m.Commit, m.Round, m.Offset, m.Size, m.Sum, m.Tried, uint64(len(m.Entries))} {
 		b = binary.AppendUvarint(b, v)
 	}
 	for _, e := range m.Entries {
@@ -73,7 +90,7 @@
 	}
 	if s := m.Snapshot; s != nil {
 		b = binary.AppendUvarint(binary.AppendUvarint(b, s.Index), s.Term)
-		b = appendMembers(b, s.Members)
+		b = append(appendMembers(b, s.Members), s.Data...)
 	}
 	return b
 }
--- a/agreement/model/model_test.go
+++ b/agreement/model/model_test.go
@@ -17,6 +17,11 @@
 	"values and elections": {Members: 3, Elections: 2, Candidates: 2, Values: 1, InFlight: 1},
 	"late":                 {Members: 2, Elections: 1, Values: 1, Beats: 1, Doubled: 1, InFlight: 2},
 	"snapshots":            {Members: 2, Elections: 2, Values: 1, Snapshots: 1, Crashes: 1, InFlight: 1},
+	"pieces":               {Members: 3, Elections: 1, Beats: 2, Snapshots: 1, Pieces: 2, InFlight: 1},
+	"tails":                {Members: 3, Elections: 1, Values: 1, Beats: 1, Snapshots: 1, Tail: 1, InFlight: 1},
+	"damage":               {Members: 3, Elections: 1, Beats: 2, Snapshots: 1, Pieces: 2, Damaged: 1, InFlight: 1},
+	"doubled pieces":       {Members: 3, Elections: 1, Beats: 2, Snapshots: 1, Pieces: 2, Doubled: 1, InFlight: 1},
+	"two snapshots":        {Members: 3, Elections: 1, Values: 1, Beats: 1, Snapshots: 2, Pieces: 2, Doubled: 1, InFlight: 1},
 }
 
 // deep are worlds in which some guards are needed, too large to be walked through each
--- a/agreement/model/world.go
+++ b/agreement/model/world.go
@@ -6,6 +6,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"fmt"
 	"slices"
@@ -27,6 +28,9 @@
 	Doubled    int `help:"Messages that arrive twice." default:"0"`
 	Changes    int `help:"Changes of who votes: one more, or one less." default:"0"`
 	Snapshots  int `help:"Logs that are cut off behind a snapshot." default:"0"`
+	Pieces     int `help:"Messages that a snapshot takes; 0: one."`
+	Tail       int `help:"Entries that stay behind a snapshot."`
+	Damaged    int `help:"Pieces of snapshots that arrive with other bytes." default:"0"`
 	InFlight   int `help:"Messages on the way from one member to another." default:"1"`
 	Entries    int `help:"Entries of the log in one message; 0: as many as there are."`
 }
@@ -36,8 +40,8 @@
 	if candidates == 0 {
 		candidates = b.Members
 	}
-	return fmt.Sprintf("%d members, %d elections by %d, %d values, %d beats, %d crashes, %d resigns, %d doubled, %d changes, %d snapshots, %d in flight",
-		b.Members, b.Elections, candidates, b.Values, b.Beats, b.Crashes, b.Resigns, b.Doubled, b.Changes, b.Snapshots, b.InFlight)
+	return fmt.Sprintf("%d members, %d elections by %d, %d values, %d beats, %d crashes, %d resigns, %d doubled, %d changes, %d snapshots in %d pieces, tails of %d, %d damaged, %d in flight",
+		b.Members, b.Elections, candidates, b.Values, b.Beats, b.Crashes, b.Resigns, b.Doubled, b.Changes, b.Snapshots, max(1, b.Pieces), b.Tail, b.Damaged, b.InFlight)
 }
 
 // never is a time that does not come: time is what the walk decides.
@@ -54,14 +58,18 @@
 	agreed  []agreement.Entry // from place 1 on, as it was first applied anywhere
 	leaders []agreement.ID    // by term
 	rounds  []round
+	damaged bool // something was, on its way
 	bad     error
 }
 
 type member struct {
 	id   agreement.ID
 	most int // entries in a message
+	tail int // entries behind a snapshot
 	node *agreement.Node
 	disk agreement.Stored
+	// applied is the furthest that it ever had, of which the disk holds all.
+	applied uint64
 }
 
 // round is a round of heartbeats, and how much was agreed when it began.
@@ -80,7 +88,7 @@
 	}
 	w := &world{left: b}
 	for i := range b.Members + b.Changes { // those that are not voters yet stand by
-		m := &member{id: agreement.ID(i + 1), most: b.Entries, disk: agreement.Stored{Snapshot: agreement.Snapshot{Members: ms}}}
+		m := &member{id: agreement.ID(i + 1), most: b.Entries, tail: b.Tail, disk: agreement.Stored{Snapshot: agreement.Snapshot{Members: ms}}}
 		m.start()
 		w.members = append(w.members, m)
 	}
@@ -88,7 +96,8 @@
 }
 
 func (m *member) start() {
-	m.node = agreement.New(agreement.Config{ID: m.id, ElectionTicks: never, HeartbeatTicks: heartbeat, MostEntries: m.most},
+	m.node = agreement.New(agreement.Config{ID: m.id, ElectionTicks: never, HeartbeatTicks: heartbeat, MostEntries: m.most,
+		TailEntries: cmp.Or(m.tail, -1), PieceBytes: 1, Window: 1},
 		agreement.Stored{Hard: m.disk.Hard, Snapshot: m.disk.Snapshot, Entries: slices.Clone(m.disk.Entries)})
 }
 
@@ -108,6 +117,9 @@
 	return &m
 }
 
+// state is what stands for the log up to an index, in so many pieces.
+func state(index uint64, pieces int) []byte { return bytes.Repeat([]byte{byte(index)}, max(1, pieces)) }
+
 // Next implements [explore.State].
 func (w *world) Next(yield func(string, explore.State) bool) {
 	// try plays one event at a member; false ends the walk.
@@ -131,6 +143,18 @@
 			m.node.Step(msg)
 			return true
 		}
+		if msg.Kind == agreement.Piece && !try(i, fmt.Sprint("arrives damaged: ", describe(msg)), &w.left.Damaged, func(c *world, m *member) bool {
+			c.net = slices.Delete(c.net, k, k+1)
+			s := *msg.Snapshot
+			s.Data = []byte{0xff}
+			bad := msg
+			bad.Snapshot = &s
+			m.node.Step(bad)
+			c.damaged = true
+			return true
+		}) {
+			return
+		}
 		if !try(i, fmt.Sprint("arrives: ", describe(msg)), nil, func(c *world, m *member) bool {
 			c.net = slices.Delete(c.net, k, k+1)
 			return deliver(c, m)
@@ -156,7 +180,7 @@
 			return
 		}
 		if a := n.Applied(); a > n.SnapshotIndex() && !try(i, fmt.Sprint("snapshot at ", id), &w.left.Snapshots, func(_ *world, m *member) bool {
-			s := m.node.Compact(a, []byte("s"))
+			s := m.node.Compact(a, state(a, w.left.Pieces))
 			if s != nil {
 				m.disk.Entries = slices.Clone(m.disk.Entries[s.Index-m.disk.Snapshot.Index:])
 				m.disk.Snapshot = *s
@@ -235,7 +259,10 @@
 		if r.Hard != nil {
 			m.disk.Hard = *r.Hard
 		}
-		if r.Snapshot != nil {
+		if s := r.Snapshot; s != nil {
+			if !bytes.Equal(s.Data, state(s.Index, w.left.Pieces)) || s.Index < m.applied {
+				w.fail("%d, which has applied %d places, installs %x for the log up to %d", m.id, m.applied, s.Data, s.Index)
+			}
 			m.disk.Snapshot, m.disk.Entries = *r.Snapshot, nil
 		}
 		if len(r.Entries) > 0 {
@@ -249,6 +276,7 @@
 			w.apply(m.id, e)
 		}
 		m.node.Advance(r)
+		m.applied = m.node.Applied()
 	}
 	if m.node.Role() == agreement.Leader {
 		term := int(m.node.Term())
@@ -311,6 +339,9 @@
 		if n.Commit() > n.LastIndex() {
 			return fmt.Errorf("%d knows that %d places are agreed and has %d", m.id, n.Commit(), n.LastIndex())
 		}
+		if n.Refused() > 0 && !w.damaged {
+			return fmt.Errorf("%d refuses a snapshot whose pieces came as they were sent", m.id)
+		}
 		if !n.Serves() {
 			continue
 		}
@@ -326,7 +357,7 @@
 // AppendKey implements [explore.State].
 func (w *world) AppendKey(b []byte) []byte {
 	l := w.left
-	for _, v := range []int{l.Elections, l.Values, l.Beats, l.Crashes, l.Resigns, l.Doubled, l.Changes, l.Snapshots, len(w.agreed), len(w.net)} {
+	for _, v := range []int{l.Elections, l.Values, l.Beats, l.Crashes, l.Resigns, l.Doubled, l.Changes, l.Snapshots, l.Damaged, len(w.agreed), len(w.net)} {
 		b = append(b, byte(v))
 	}
 	for _, e := range w.agreed {
@@ -354,7 +385,7 @@
 }
 
 func describe(m agreement.Message) string {
-	kind := [...]string{"", "pre-vote", "answer to a pre-vote", "vote?", "vote", "append", "appended", "snapshot", "campaign"}[m.Kind]
+	kind := [...]string{"", "pre-vote", "answer to a pre-vote", "vote?", "vote", "append", "appended", "snapshot", "campaign", "piece", "piece taken"}[m.Kind]
 	if m.Reject {
 		kind = "no: " + kind
 	}
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"cmp"
 	"errors"
 	"math/rand/v2"
 	"slices"
@@ -13,17 +14,32 @@
 	HeartbeatTicks int
 	Seed           uint64
 	MostEntries    int // of one message; 0: 32
+
+	// The log is due to be cut behind a snapshot after so many entries (0: 64), or so many
+	// bytes of them (0: 512 KB), of which so many entries stay (0: 64; less than 0: none).
+	LogEntries, LogBytes, TailEntries int
+	// Of a snapshot a message carries so many bytes (0: 16 KB), and so many messages are
+	// on their way (0: 2).
+	PieceBytes, Window int
+	// Check, where set, tells whether the host can take over a snapshot; one that it can't
+	// is refused. It must depend on the snapshot alone.
+	Check func(*Snapshot) error
 }
 
 const (
 	// mostEntries, if the settings name none, and mostBytes bound the entries of one
 	// message. One entry goes out whatever its size.
 	mostEntries = 32
-	mostBytes   = 256 << 10
+	mostBytes   = 16 << 10
+	// A message with so many bytes at most travels with the heartbeats; see [Message.Bulk].
+	smallBytes = 1 << 10
 	// resendTicks is how long entries that are on their way are waited for before
-	// they are sent again. To send them with each heartbeat would fill the memory of
-	// a leader whose link is slow (docs/incidents/0006).
+	// they are sent again, and longer for many bytes (resendAfter). To send them with
+	// each heartbeat would fill the memory of a leader whose link is slow (docs/incidents/0006).
 	resendTicks = 4
+	// When the log is cut, and what stays of it. Members hold it in memory.
+	logEntries, tailEntries = 64, 64
+	logBytes                = 512 << 10
 )
 
 // The errors of Propose and Change.
@@ -39,10 +55,12 @@
 	src *rand.PCG
 	rng *rand.Rand // draws from src
 
-	hard    HardState
-	snap    Snapshot
-	entries []Entry // behind the snapshot
-	members []Member
+	hard     HardState
+	snap     Snapshot
+	entries  []Entry // behind base, which is not behind the snapshot
+	base     uint64  // place before the first entry that is held
+	baseTerm uint64  // ... and its term
+	members  []Member
 
 	role      Role
 	leader    ID
@@ -51,6 +69,8 @@
 	stored    uint64 // index of the last entry handed to the host for storing
 	hardDirty bool
 	installed *Snapshot // to be stored and applied
+	incoming  *assembly // a snapshot that comes in pieces
+	refused   uint64
 	out       []Message
 
 	elapsed int // ticks since the last sign of a leader, or as leader of the last quorum check
@@ -69,10 +89,18 @@
 	match, next uint64
 	round       uint64 // the latest that it has answered
 	active      bool   // heard of since the last quorum check
-	paused      bool   // entries or a snapshot are out; heartbeats carry none meanwhile
+	paused      bool   // entries are out; heartbeats carry none meanwhile
 	out         uint64 // ... up to this index
-	waited      int    // ... for so many ticks
-	quiet       int    // ticks since it was heard of
+	outBytes    int
+	waited      int // ... for so many ticks
+	quiet       int // ticks since it was heard of
+	snapshot    *transfer
+}
+
+// heard notes that a member has answered a round, of those that there were.
+func (p *progress) heard(round, rounds uint64) {
+	p.active, p.quiet = true, 0
+	p.round = max(p.round, min(round, rounds))
 }
 
 // New returns a member with what its disk holds.
@@ -80,8 +108,12 @@
 	if cfg.MostEntries == 0 {
 		cfg.MostEntries = mostEntries
 	}
+	cfg.LogEntries, cfg.LogBytes = cmp.Or(cfg.LogEntries, logEntries), cmp.Or(cfg.LogBytes, logBytes)
+	cfg.TailEntries = cmp.Or(cfg.TailEntries, tailEntries)
+	cfg.PieceBytes, cfg.Window = cmp.Or(cfg.PieceBytes, pieceBytes), cmp.Or(cfg.Window, window)
 	src := rand.NewPCG(cfg.Seed, uint64(cfg.ID))
-	n := &Node{cfg: cfg, src: src, rng: rand.New(src), hard: s.Hard, snap: s.Snapshot, entries: s.Entries}
+	n := &Node{cfg: cfg, src: src, rng: rand.New(src), hard: s.Hard, snap: s.Snapshot, entries: s.Entries,
+		base: s.Snapshot.Index, baseTerm: s.Snapshot.Term}
 	n.commit, n.applied, n.stored = s.Snapshot.Index, s.Snapshot.Index, n.last()
 	n.findMembers()
 	n.follow(0)
@@ -108,7 +140,7 @@
 // Commit returns the index up to which the log is agreed.
 func (n *Node) Commit() uint64 { return n.commit }
 
-// SnapshotIndex returns the index up to which the log is cut off.
+// SnapshotIndex returns the index of the latest snapshot; some entries before it may be held.
 func (n *Node) SnapshotIndex() uint64 { return n.snap.Index }
 
 // LastIndex returns the index of the last entry of the log.
@@ -148,24 +180,24 @@
 
 // ---- The log ----
 
-func (n *Node) last() uint64 { return n.snap.Index + uint64(len(n.entries)) }
+func (n *Node) last() uint64 { return n.base + uint64(len(n.entries)) }
 
 // term is the term of an entry; 0 where it is not known.
 func (n *Node) term(index uint64) uint64 {
 	switch {
-	case index == n.snap.Index:
-		return n.snap.Term
-	case index > n.snap.Index && index <= n.last():
-		return n.entries[index-n.snap.Index-1].Term
+	case index == n.base:
+		return n.baseTerm
+	case index > n.base && index <= n.last():
+		return n.entries[index-n.base-1].Term
 	}
 	return 0
 }
 
 func (n *Node) after(index uint64, most int) []Entry {
-	if index >= n.last() || index < n.snap.Index {
+	if index >= n.last() || index < n.base {
 		return nil
 	}
-	es := n.entries[index-n.snap.Index:]
+	es := n.entries[index-n.base:]
 	return slices.Clip(es[:min(most, len(es))])
 }
 
@@ -173,7 +205,7 @@
 func (n *Node) portion(index uint64) []Entry {
 	es, bytes := n.after(index, n.cfg.MostEntries), 0
 	for i := range es {
-		if bytes += len(es[i].Data); bytes > mostBytes && i > 0 {
+		if bytes += weight(&es[i]); bytes > mostBytes && i > 0 {
 			return slices.Clip(es[:i])
 		}
 	}
@@ -194,28 +226,12 @@
 
 // write puts entries behind an index, in place of what stands there.
 func (n *Node) write(after uint64, es []Entry) {
-	keep := n.entries[:after-n.snap.Index]
+	keep := n.entries[:after-n.base]
 	n.entries = append(slices.Clip(keep), es...)
 	n.stored = min(n.stored, after)
 	n.findMembers()
 }
 
-// Compact drops entries up to an applied index, for which data stands.
-func (n *Node) Compact(index uint64, data []byte) *Snapshot {
-	if index <= n.snap.Index || index > n.applied || index > n.stored {
-		return nil
-	}
-	s := Snapshot{Index: index, Term: n.term(index), Members: n.snap.Members, Data: data}
-	for _, e := range n.entries[:index-n.snap.Index] {
-		if e.Members != nil {
-			s.Members = e.Members
-		}
-	}
-	n.entries = slices.Clone(n.entries[index-n.snap.Index:])
-	n.snap = s
-	return &s
-}
-
 // ---- Time ----
 
 // Tick tells that one tick has passed.
@@ -229,9 +245,12 @@
 	}
 	for _, p := range n.peers {
 		p.quiet++
-		if p.waited++; p.waited >= resendTicks {
+		if p.waited++; p.waited >= resendAfter(p.outBytes) {
 			p.paused = false
 		}
+		if p.snapshot != nil {
+			p.snapshot.tick()
+		}
 	}
 	if n.elapsed >= n.cfg.ElectionTicks {
 		n.elapsed = 0
@@ -449,37 +468,37 @@
 	}
 }
 
-// append sends a member what it lacks. A heartbeat goes out in any case.
+// append sends a member what it lacks. A heartbeat goes out in any case, and never
+// waits for what is large: it says no more than what this member is known to have, so
+// that it may overtake entries and pieces.
 func (n *Node) append(id ID, p *progress, heartbeat bool) {
-	if p.paused && !heartbeat {
-		return
-	}
 	m := Message{Kind: Append, To: id, Term: n.hard.Term, Commit: n.commit, Round: n.round}
-	switch {
-	case p.next <= n.snap.Index && !p.paused:
-		s := n.snap
-		n.send(Message{Kind: Install, To: id, Term: n.hard.Term, Round: n.round, Snapshot: &s})
-		p.paused, p.out, p.waited = true, s.Index, 0
-		return
-	case p.next <= n.snap.Index: // the snapshot is out: this only says that the leader lives
-		m.Index, m.LogTerm = n.snap.Index, n.snap.Term
-	default:
+	if p.next > n.base && !p.paused {
 		m.Index, m.LogTerm = p.next-1, n.term(p.next-1)
-		if !p.paused {
-			m.Entries = n.portion(p.next - 1)
+		m.Entries = n.portion(p.next - 1)
+	}
+	large := m.Bulk()
+	if heartbeat && (len(m.Entries) == 0 || large) {
+		h := m
+		h.Entries = nil
+		if h.Index = 0; p.match >= n.base {
+			h.Index = p.match
+		}
+		if p.next > n.base && !p.paused && !large {
+			h.Index = p.next - 1 // nothing is on its way: it asks whether the log ends alike
 		}
+		h.LogTerm = n.term(h.Index)
+		n.send(h)
 	}
-	if len(m.Entries) == 0 && !heartbeat {
+	if p.next <= n.base {
+		n.sendSnapshot(id, p)
 		return
 	}
-	n.send(m)
-	if k := uint64(len(m.Entries)); k > 0 {
-		if p.match+1 < p.next { // in step: send on without waiting
-			p.next += k
-		}
-		p.out, p.waited = m.Index+k, 0
-		p.paused = p.match+1 >= p.next
+	if len(m.Entries) == 0 {
+		return
 	}
+	n.send(m)
+	p.paused, p.out, p.outBytes, p.waited = true, m.Index+uint64(len(m.Entries)), m.Weight(), 0
 }
 
 // advance agrees on what a majority has stored, if it is of this term.
--- a/agreement/resend_test.go
+++ b/agreement/resend_test.go
@@ -37,7 +37,7 @@
 	if n.Role() != Leader {
 		t.Fatal("no leader")
 	}
-	const size = 200 << 10
+	const size = mostBytes * 25 / 32
 	for range 4 {
 		if _, _, err := n.Propose(make([]byte, size)); err != nil {
 			t.Fatal(err)
@@ -51,12 +51,12 @@
 	if sent[2] > mostBytes {
 		t.Errorf("%d bytes were sent to one that has not answered yet", sent[2])
 	}
-	for range 3 * resendTicks {
+	for range 3 * resendAfter(size) {
 		n.Tick()
 		carry(false)
 	}
 	if sent[2] <= size || sent[2] > 5*mostBytes {
-		t.Errorf("%d bytes in %d ticks without an answer", sent[2], 3*resendTicks)
+		t.Errorf("%d bytes in %d ticks without an answer", sent[2], 3*resendAfter(size))
 	}
 	for range 30 {
 		n.Tick()
--- a/agreement/sim_test.go
+++ b/agreement/sim_test.go
@@ -1,6 +1,7 @@
 package agreement
 
 import (
+	"bytes"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -11,20 +12,21 @@
 // sim is a core under faults: messages are lost, late and doubled, members
 // crash, lose what was not synced or the whole disk, and are replaced.
 type sim struct {
-	t       *testing.T
-	seed    uint64
-	rng     *rand.Rand
-	nodes   map[ID]*Node
-	disks   map[ID]*Stored
-	applied map[ID][]Entry
-	snaps   map[ID]uint64 // index up to which the applied entries begin
-	net     []Message
-	acked   map[uint64]string // index to data
-	leaders map[uint64]ID     // by term
-	next    ID
-	cut     map[ID]bool
-	value   int
-	granted int // reads that were confirmed
+	t         *testing.T
+	seed      uint64
+	rng       *rand.Rand
+	nodes     map[ID]*Node
+	disks     map[ID]*Stored
+	applied   map[ID][]Entry
+	snaps     map[ID]uint64 // index up to which the applied entries begin
+	net       []Message
+	acked     map[uint64]string // index to data
+	leaders   map[uint64]ID     // by term
+	next      ID
+	cut       map[ID]bool
+	value     int
+	granted   int // reads that were confirmed
+	installed int // snapshots taken over
 }
 
 func newSim(t *testing.T, seed uint64, n int) *sim {
@@ -41,10 +43,13 @@
 	return s
 }
 
+// state is what stands for the log up to an index: some pieces long.
+func state(index uint64) []byte { return bytes.Repeat(fmt.Append(nil, "state at ", index, ";"), 4) }
+
 func (s *sim) start(id ID) {
 	d := s.disks[id]
 	s.applied[id] = nil
-	s.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Seed: s.rng.Uint64()},
+	s.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Seed: s.rng.Uint64(), PieceBytes: 16, TailEntries: 6},
 		Stored{Hard: d.Hard, Snapshot: d.Snapshot, Entries: slices.Clone(d.Entries)})
 }
 
@@ -69,6 +74,10 @@
 			d.Hard = *r.Hard
 		}
 		if r.Snapshot != nil {
+			if !bytes.Equal(r.Snapshot.Data, state(r.Snapshot.Index)) {
+				s.fail("%d installs %q for the log up to %d", id, r.Snapshot.Data, r.Snapshot.Index)
+			}
+			s.installed++
 			d.Snapshot, d.Entries = *r.Snapshot, nil
 		}
 		if len(r.Entries) > 0 {
@@ -95,7 +104,7 @@
 		s.leaders[n.Term()] = id
 	}
 	if a := n.Applied(); a > 0 && a%16 == 0 {
-		if snap := n.Compact(a, []byte("state")); snap != nil {
+		if snap := n.Compact(a, state(a)); snap != nil {
 			d.Entries = slices.Clone(d.Entries[snap.Index-d.Snapshot.Index:])
 			d.Snapshot = *snap
 		}
@@ -172,7 +181,7 @@
 	l := s.leader()
 	if l != nil && s.rng.IntN(3) == 0 {
 		s.value++
-		l.Propose(fmt.Append(nil, "v", s.value))
+		l.Propose(fmt.Appendf(nil, "%*d", 1+s.value%2*smallBytes, s.value)) // each second one on the lane of what is large
 	}
 	switch s.rng.IntN(60) {
 	case 0:
@@ -241,6 +250,7 @@
 // member has everything that was ever agreed on. A seed reproduces a run.
 func TestAgreementUnderFaults(t *testing.T) {
 	t.Parallel()
+	installed := 0
 	for seed := range uint64(1200) {
 		s := newSim(t, seed, 3)
 		for range 600 {
@@ -249,6 +259,10 @@
 		}
 		clear(s.cut)
 		s.settle()
+		installed += s.installed
+	}
+	if installed < 1000 {
+		t.Errorf("%d snapshots were taken over: too few to say anything", installed)
 	}
 }
 
--- a/agreement/step.go
+++ b/agreement/step.go
@@ -19,14 +19,14 @@
 				return // a leader is alive: one that came back must not unseat it
 			}
 			n.newTerm(m.Term, 0)
-		case Append, Install:
+		case Append, Install, Piece:
 			n.newTerm(m.Term, m.From)
 		default:
 			n.newTerm(m.Term, 0)
 		}
 	case m.Term < n.hard.Term:
 		switch m.Kind {
-		case Append, Install: // tells an old leader of the new term
+		case Append, Install, Piece: // tells an old leader of the new term
 			n.send(Message{Kind: AppendReply, To: m.From, Term: n.hard.Term, Reject: true, Index: n.last()})
 		case PreVote:
 			n.send(Message{Kind: PreVoteReply, To: m.From, Term: n.hard.Term, Reject: true})
@@ -63,8 +63,13 @@
 	case Install:
 		n.heardLeader(m.From)
 		n.install(m)
+	case Piece:
+		n.heardLeader(m.From)
+		n.takePiece(m)
 	case AppendReply:
 		n.appended(m)
+	case PieceReply:
+		n.pieceTaken(m)
 	case Campaign:
 		if n.votes1() {
 			n.force = true
@@ -90,10 +95,15 @@
 		}
 		term = e.Term
 	}
-	if m.Kind == Install {
-		return m.Snapshot != nil && m.Snapshot.Index > 0 && m.Snapshot.Index <= most && m.Snapshot.Term <= m.Term
+	if m.Kind != Install && m.Kind != Piece {
+		return true
 	}
-	return true
+	s := m.Snapshot
+	if s == nil || s.Index == 0 || s.Index > most || s.Term > m.Term {
+		return false
+	}
+	size := uint64(len(s.Data))
+	return m.Kind == Install || size > 0 && m.Size <= MostSnapshot && m.Offset <= m.Size && size <= m.Size-m.Offset
 }
 
 // calm tells that a leader was heard of within the least election time.
@@ -117,20 +127,20 @@
 func (n *Node) takeEntries(m Message) {
 	reply := Message{Kind: AppendReply, To: m.From, Term: n.hard.Term, Round: m.Round}
 	switch {
-	case m.Index < n.snap.Index: // agreed long since; the rest may be news
-		skip := n.snap.Index - m.Index
+	case m.Index < n.base: // agreed long since; the rest may be news
+		skip := n.base - m.Index
 		if skip > uint64(len(m.Entries)) {
-			reply.Index = n.snap.Index
+			reply.Index = n.base
 			n.send(reply)
 			return
 		}
 		m.Entries = m.Entries[skip:]
 	case m.Index > n.last() || n.term(m.Index) != m.LogTerm:
-		reply.Reject, reply.Index = true, min(n.last(), m.Index-1)
+		reply.Reject, reply.Index, reply.Tried = true, min(n.last(), m.Index-1), m.Index
 		n.send(reply)
 		return
 	}
-	from := max(m.Index, n.snap.Index)
+	from := max(m.Index, n.base)
 	for i, e := range m.Entries {
 		if n.term(e.Index) != e.Term && e.Index <= n.commit {
 			return // what was agreed on stays: no leader of the agreement sends this
@@ -142,24 +152,10 @@
 	}
 	reply.Index = from + uint64(len(m.Entries))
 	n.commit = max(n.commit, min(m.Commit, reply.Index))
-	n.send(reply)
-}
-
-func (n *Node) install(m Message) {
-	s := m.Snapshot
-	if s == nil {
-		return
+	if n.incoming != nil && n.incoming.snap.Index <= n.commit {
+		n.incoming = nil // what it was to bring has come entry by entry
 	}
-	if s.Index > n.commit {
-		if n.term(s.Index) == s.Term && s.Index <= n.last() {
-			n.commit = s.Index // all of it is here
-		} else {
-			n.snap, n.entries, n.installed = *s, nil, s
-			n.commit, n.applied, n.stored = s.Index, s.Index, s.Index
-			n.findMembers()
-		}
-	}
-	n.send(Message{Kind: AppendReply, To: m.From, Term: n.hard.Term, Round: m.Round, Index: max(n.commit, s.Index)})
+	n.send(reply)
 }
 
 func (n *Node) appended(m Message) {
@@ -167,15 +163,15 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.active, p.quiet = true, 0
-	p.round = max(p.round, min(m.Round, n.round))
+	p.heard(m.Round, n.round)
 	if m.Reject {
-		if p.paused && p.next <= n.snap.Index {
-			return // the answer to a heartbeat beside a snapshot that is on its way
+		if p.next <= n.base || m.Tried != 0 && m.Tried != p.next-1 {
+			return // a snapshot is on its way, or this is an answer to something before
+		}
+		if next := max(p.match+1, min(p.next-1, m.Index+1)); next < p.next { // else: in time, not at once
+			p.paused, p.next = false, next
+			n.append(m.From, p, false)
 		}
-		p.paused = false
-		p.next = max(p.match+1, min(p.next-1, m.Index+1))
-		n.append(m.From, p, false)
 		return
 	}
 	if m.Index >= p.out {
@@ -184,6 +180,9 @@
 	if m.Index > p.match && m.Index <= n.last() {
 		p.match = m.Index
 		p.next = max(p.next, p.match+1)
+		if p.next > n.base {
+			p.snapshot = nil
+		}
 		before := n.commit
 		n.advance()
 		if n.role == Leader && n.commit > before { // tells the others at once what is agreed
@@ -208,8 +207,12 @@
 		h := n.hard
 		r.Hard = &h
 	}
-	if n.commit > n.applied { // of what is stored with this Ready or was before
-		r.Committed = n.after(n.applied, int(n.commit-n.applied))
+	from := n.applied
+	if n.installed != nil {
+		from = n.installed.Index
+	}
+	if n.commit > from { // of what is stored with this Ready or was before
+		r.Committed = n.after(from, int(n.commit-from))
 	}
 	return r
 }
@@ -227,6 +230,9 @@
 	if r.Snapshot == n.installed {
 		n.installed = nil
 	}
+	if r.Snapshot != nil { // before that the host has not taken it over, as while its disk refuses writes
+		n.applied = max(n.applied, r.Snapshot.Index)
+	}
 	if k := len(r.Entries); k > 0 {
 		if e := r.Entries[k-1]; n.term(e.Index) == e.Term {
 			n.stored = max(n.stored, e.Index)
--- a/agreement/types.go
+++ b/agreement/types.go
@@ -61,8 +61,10 @@
 	VoteReply
 	Append // also the heartbeat
 	AppendReply
-	Install // a snapshot
+	Install // a whole snapshot
 	Campaign
+	Piece // of a snapshot; members of before know neither this kind nor the next, and ignore both
+	PieceReply
 )
 
 // Message goes from one member to another. It may be lost, late or doubled.
@@ -78,9 +80,31 @@
 	Reject   bool      `cbor:"9,keyasint,omitempty"`
 	Force    bool      `cbor:"10,keyasint,omitempty"` // a vote asked for by the leader itself
 	Entries  []Entry   `cbor:"11,keyasint,omitempty"`
-	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"`
+	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"` // of a piece: with the bytes from Offset on
+	// Of a piece: where it begins, the size of the whole in bytes, and the xxhash of the
+	// whole. Of its reply: how many bytes are held, and the sum.
+	Offset uint64 `cbor:"13,keyasint,omitempty"`
+	Size   uint64 `cbor:"14,keyasint,omitempty"`
+	Sum    uint64 `cbor:"15,keyasint,omitempty"`
+	// Tried is, in a rejection, the index that did not fit; 0 from members of before.
+	Tried uint64 `cbor:"16,keyasint,omitempty"`
 }
 
+// Weight is what a message has of entries and snapshots, in bytes.
+func (m *Message) Weight() (bytes int) {
+	for i := range m.Entries {
+		bytes += weight(&m.Entries[i])
+	}
+	if m.Snapshot != nil {
+		bytes += len(m.Snapshot.Data)
+	}
+	return bytes
+}
+
+// Bulk tells that a message may take a link's time and must not delay the others:
+// heartbeats, votes and answers. It may be overtaken by them.
+func (m *Message) Bulk() bool { return m.Kind == Piece || m.Weight() > smallBytes }
+
 // Role is what a member is at the moment.
 type Role uint8
 
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -22,10 +22,6 @@
 	tickEvery      = 50 * time.Millisecond
 	electionTicks  = 10 // 0.5 to 1 s without a leader
 	heartbeatTicks = 2
-	// The log is cut short after so many entries, or so many bytes of them: members
-	// hold it in memory.
-	compactAt    = 64
-	compactBytes = 512 << 10
 )
 
 // CoreConfig is what a member is told.
@@ -47,18 +43,23 @@
 
 	mu sync.Mutex
 	register
-	changed  chan struct{} // closed at news for limiters
-	heard    chan struct{} // closed when a round of heartbeats is confirmed
-	rounds   uint64        // confirmed when heard was last closed
-	role     agreement.Role
-	leader   agreement.ID
-	configs  changes.Table // the rows of the configuration
-	servers  serverList
-	asks     asks
-	ticks    int
-	logged   int // bytes applied since the log was cut short
+	changed chan struct{} // closed at news for limiters
+	heard   chan struct{} // closed when a round of heartbeats is confirmed
+	rounds  uint64        // confirmed when heard was last closed
+	role    agreement.Role
+	leader  agreement.ID
+	configs changes.Table // the rows of the configuration
+	servers serverList
+	asks    asks
+	ticks   int
+	// diskDown: nothing is promised or answered, as the disk takes no writes or, where
+	// halted says why, as this member can't carry on what the others agreed on.
 	diskDown bool
-	lanes    map[agreement.ID]*lane
+	halted   string
+	decoded  *decoded // the snapshot that was checked last, until it is taken over
+	unread   uint64   // index of the last snapshot that was refused, to say so once
+	encoded  int      // snapshots made
+	lanes    map[laneKey]*lane
 	addrs    map[agreement.ID]string // of those who sent something, for answers to them
 	ctx      context.Context
 	tasks    sync.WaitGroup
@@ -96,47 +97,97 @@
 		return nil, err
 	}
 	c := &Core{cfg: cfg, id: id, register: register{calls: map[uint64]*pending{}}, changed: make(chan struct{}), heard: make(chan struct{}),
-		lanes: map[agreement.ID]*lane{}, addrs: map[agreement.ID]string{}}
-	if err := c.restore(st.Snapshot); err != nil {
-		return nil, err
+		lanes: map[laneKey]*lane{}, addrs: map[agreement.ID]string{}}
+	d, err := decode(&st.Snapshot)
+	if err != nil {
+		return nil, fmt.Errorf("%w: snapshot: %v", logstore.ErrCorrupt, err)
 	}
-	c.node = agreement.New(agreement.Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: cfg.Seed}, st)
+	c.takeOver(d)
+	c.node = agreement.New(agreement.Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: cfg.Seed, Check: c.check}, st)
 	cfg.Log.Info("core member", "id", fmt.Sprintf("%x", uint64(id)), "entries", len(st.Entries), "term", st.Hard.Term,
 		"revision", c.state.Revision, "members", len(st.Snapshot.Members))
 	return c, nil
 }
 
-func (c *Core) restore(s agreement.Snapshot) error {
-	c.state = State{}
+// decoded is a snapshot as it is answered from.
+type decoded struct {
+	index, term uint64
+	state       State
+	revision    uint64
+	rows        map[string][]byte // nil: no configuration was taken yet
+}
+
+// decode reads a snapshot whole, down to what limiters are told of it.
+func decode(s *agreement.Snapshot) (d *decoded, err error) {
+	d = &decoded{index: s.Index, term: s.Term}
 	if len(s.Data) == 0 {
-		return nil
-	}
-	if err := cbor.Unmarshal(s.Data, &c.state); err != nil {
-		return fmt.Errorf("%w: snapshot: %v", logstore.ErrCorrupt, err)
+		return d, nil
 	}
-	if err := c.tabulate(); err != nil {
-		return fmt.Errorf("%w: snapshot: %v", logstore.ErrCorrupt, err)
+	if err := cbor.Unmarshal(s.Data, &d.state); err != nil {
+		return nil, err
 	}
-	return nil
+	d.revision, d.rows, err = tabulate(&d.state)
+	return d, err
 }
 
-// tabulate makes the newest configuration the one that limiters are told of.
-func (c *Core) tabulate() error {
-	if c.state.Revision == 0 {
-		return nil
+// tabulate returns the newest configuration as limiters are told it.
+func tabulate(s *State) (revision uint64, rows map[string][]byte, err error) {
+	if s.Revision == 0 {
+		return 0, nil, nil
 	}
-	data, err := c.state.Config()
+	data, err := s.Config()
 	if err != nil {
-		return err
+		return 0, nil, err
+	}
+	if revision, rows, err = api.ConfigRows(data); err == nil && revision != s.Revision {
+		err = fmt.Errorf("revision %d holds one that says %d", s.Revision, revision)
 	}
-	revision, rows, err := api.ConfigRows(data)
+	return revision, rows, err
+}
+
+// tellable tells why a configuration could not be told to limiters once it is agreed on.
+// What passes here can be applied by every member, as [Core.apply] needs it.
+func tellable(config []byte) error {
+	if len(config) > api.MaxConfig {
+		return fmt.Errorf("%d bytes, %d at most", len(config), api.MaxConfig)
+	}
+	_, _, err := api.ConfigRows(config)
+	return err
+}
+
+// check tells whether a snapshot can be taken over. A member that went on without
+// would answer from an older state, and might lead with it.
+func (c *Core) check(s *agreement.Snapshot) error {
+	d, err := decode(s)
 	if err != nil {
+		if c.unread != s.Index {
+			c.unread = s.Index
+			c.cfg.Log.Error("a snapshot can't be read and is refused", "index", s.Index, "bytes", len(s.Data), "err", err)
+		}
 		return err
 	}
-	c.configs.Replace(revision, rows)
+	c.decoded = d
 	return nil
 }
 
+// takeOver makes a snapshot what is answered from.
+func (c *Core) takeOver(d *decoded) {
+	c.state = d.state
+	if d.rows != nil {
+		c.configs.Replace(d.revision, d.rows)
+	}
+}
+
+// halt ends this member's part: it can't carry on what the others agreed on, and must
+// not answer from something older. Nothing of it is lost: its log stays as it is.
+func (c *Core) halt(why string, err error) {
+	c.cfg.Log.Error("this member takes no part any more, until it is started with a program that can", "why", why, "err", err)
+	c.halted, c.diskDown = fmt.Sprintf("%s: %v", why, err), true
+	c.node.Resign()
+	c.note()
+	c.signal()
+}
+
 // Run takes part until the context ends; then it hands leadership on.
 func (c *Core) Run(ctx context.Context) {
 	c.mu.Lock()
@@ -183,7 +234,7 @@
 
 // process carries out what the node has ready. Called under the mutex.
 func (c *Core) process() {
-	for {
+	for c.halted == "" {
 		r := c.node.Ready()
 		if r.Empty() {
 			break
@@ -206,47 +257,78 @@
 		for _, m := range r.Messages {
 			c.enqueue(m)
 		}
-		if r.Snapshot != nil {
-			if err := c.restore(*r.Snapshot); err != nil {
-				c.cfg.Log.Error("a snapshot can't be read", "err", err)
-			}
+		if r.Snapshot != nil && !c.restore(r.Snapshot) {
+			return
 		}
 		for _, e := range r.Committed {
-			c.apply(e)
+			if !c.apply(e) {
+				return // it counts as not applied: nobody is answered from before it
+			}
 		}
 		c.node.Advance(r)
 	}
+	if c.halted != "" {
+		return
+	}
 	c.compact()
 	c.note()
 }
 
-func (c *Core) apply(e agreement.Entry) {
-	c.logged += len(e.Data)
-	called := c.calls[e.Index] != nil
+// restore takes a snapshot over that the node has installed, and tells those who wait.
+func (c *Core) restore(s *agreement.Snapshot) bool {
+	d := c.decoded
+	if d == nil || d.index != s.Index || d.term != s.Term {
+		var err error
+		if d, err = decode(s); err != nil { // it was checked before it was installed
+			c.halt("a snapshot can't be read", err)
+			return false
+		}
+	}
+	c.decoded = nil
+	c.takeOver(d)
+	for at, p := range c.calls {
+		if at <= s.Index { // what came of them is not told: they are asked again
+			delete(c.calls, at)
+			p.answer = &api.Result{}
+		}
+	}
+	c.cfg.Log.Info("snapshot taken over", "index", s.Index, "bytes", len(s.Data), "revision", c.state.Revision)
+	c.signal()
+	return true
+}
+
+// apply carries out an entry that was agreed on; false: it can't, and is halted.
+func (c *Core) apply(e agreement.Entry) bool {
+	called, before := c.calls[e.Index] != nil, c.state
 	if c.register.apply(e) {
-		if err := c.tabulate(); err != nil { // it was checked before it was proposed
-			c.cfg.Log.Error("a configuration can't be told", "revision", c.state.Revision, "err", err)
+		revision, rows, err := tabulate(&c.state)
+		if err != nil { // it was checked before it was proposed, by a member that could tell it
+			c.state = before
+			c.halt(fmt.Sprintf("the configuration at %d can't be told", e.Index), err)
+			return false
 		}
+		c.configs.Replace(revision, rows)
 		c.cfg.Log.Info("configuration taken", "revision", c.state.Revision, "index", e.Index)
 		c.signal()
 	}
 	if called {
 		c.hear()
 	}
+	return true
 }
 
+// compact cuts the log behind a snapshot where that is due.
 func (c *Core) compact() {
-	st := c.node.Applied()
-	if st == 0 || st%compactAt != 0 && c.logged < compactBytes {
+	if !c.node.SnapshotDue() {
 		return
 	}
-	c.logged = 0
+	c.encoded++
 	data, err := cbor.Marshal(c.state)
 	if err != nil {
 		c.cfg.Log.Error("encoding a snapshot", "err", err)
 		return
 	}
-	if s := c.node.Compact(st, data); s != nil {
+	if s := c.node.Compact(c.node.Applied(), data); s != nil {
 		if err := c.cfg.Store.Compact(*s); err != nil {
 			c.cfg.Log.Warn("compacting the log", "err", err)
 		}
--- a/controlplane/serve.go
+++ b/controlplane/serve.go
@@ -14,6 +14,9 @@
 // Replace takes a configuration that follows on another.
 func (c *Core) Replace(ctx context.Context, q *api.Replace) (*api.Result, error) {
 	conf, err := api.ParseConfig(q.Config)
+	if err == nil {
+		err = tellable(q.Config)
+	}
 	if err != nil {
 		return &api.Result{Status: http.StatusBadRequest, Why: err.Error()}, nil
 	}
@@ -106,6 +109,7 @@
 	Term, Commit     uint64
 	Revision         uint64
 	DiskFails        bool
+	Halted           string // why it takes no part any more; empty: it does
 	Members          []string
 	// Watches wait here for news. What is held for them: encoded differences, and
 	// for each a piece at most, so NewsBytesMost in all.
@@ -119,7 +123,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	s := CoreStatus{ID: fmt.Sprintf("%x", uint64(c.id)), Role: c.node.Role().String(), Leader: c.leaderAddr(), Term: c.node.Term(),
-		Commit: c.node.Commit(), Revision: c.state.Revision, DiskFails: c.diskDown, Watches: c.asks.waiting,
+		Commit: c.node.Commit(), Revision: c.state.Revision, DiskFails: c.diskDown && c.halted == "", Halted: c.halted, Watches: c.asks.waiting,
 		NewsBytes: c.configs.Held() + c.servers.table.Held(), NewsBytesMost: 4*changes.MostHeld + mostWatches*api.PieceSize}
 	for _, m := range c.node.Members() {
 		kind := "learner"
--- a/controlplane/transport.go
+++ b/controlplane/transport.go
@@ -2,7 +2,8 @@
 
 import (
 	"context"
-	"sync/atomic"
+	"slices"
+	"sync"
 	"time"
 
 	"example.org/elmspan/agreement"
@@ -10,33 +11,45 @@
 )
 
 const (
+	// deliverTimeout bounds a call without entries or pieces; with them it is longer.
 	deliverTimeout = 400 * time.Millisecond
-	sendQueue      = 128
 	mostSenders    = 64
-	// A member whose link is slow must not have the others hold more for it: what
-	// has no room is dropped, and sent again when it has answered.
-	mostQueued = 1 << 20 // bytes waiting for one member
-	mostBatch  = 512 << 10
+	laneIdle       = time.Minute
 )
 
-// lane is the way to one member.
+// lane is one of the two ways to one member.
 type lane struct {
-	q     chan agreement.Message
-	bytes atomic.Int64 // of entries and snapshots waiting
+	mu   sync.Mutex
+	q    queue
+	wake chan struct{}
 }
 
-func weight(m *agreement.Message) (n int) {
-	for i := range m.Entries {
-		n += len(m.Entries[i].Data)
-	}
-	if m.Snapshot != nil {
-		n += len(m.Snapshot.Data)
+func (l *lane) put(m agreement.Message) {
+	l.mu.Lock()
+	l.q.put(m)
+	l.mu.Unlock()
+	select {
+	case l.wake <- struct{}{}:
+	default:
 	}
-	return n
 }
 
+func (l *lane) take() []agreement.Message {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.Clone(l.q.take())
+}
+
+func (l *lane) done() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.q.done()
+}
+
+// enqueue puts a message on its way. Called under the mutex.
 func (c *Core) enqueue(m agreement.Message) {
-	l := c.lanes[m.To]
+	key := laneKey{m.To, m.Bulk()}
+	l := c.lanes[key]
 	if l == nil {
 		addr := c.addrs[m.To]
 		for _, x := range c.node.Members() {
@@ -47,66 +60,60 @@
 		if addr == "" || c.ctx == nil {
 			return
 		}
-		l = &lane{q: make(chan agreement.Message, sendQueue)}
-		c.lanes[m.To] = l
-		id := m.To
-		c.tasks.Go(func() { c.deliver(id, addr, l) })
-	}
-	w := int64(weight(&m))
-	if held := l.bytes.Load(); held > 0 && held+w > mostQueued {
-		return
-	}
-	select {
-	case l.q <- m:
-		l.bytes.Add(w)
-	default: // a peer that takes nothing: what is lost is sent again
+		l = &lane{q: queue{bulk: key.bulk}, wake: make(chan struct{}, 1)}
+		c.lanes[key] = l
+		c.tasks.Go(func() { c.deliver(key, addr, l) })
 	}
+	l.put(m)
 }
 
-// deliver sends a member its messages, until it is no member any more.
-func (c *Core) deliver(id agreement.ID, addr string, l *lane) {
-	idle := time.NewTimer(time.Minute)
+// deliver sends a member what one lane has, until nothing came for long.
+func (c *Core) deliver(key laneKey, addr string, l *lane) {
+	idle := time.NewTimer(laneIdle)
 	defer idle.Stop()
 	for {
-		d := api.Deliver{From: c.id, Addr: c.cfg.Addr}
-		idle.Reset(time.Minute)
-		bytes := 0
-		take := func(m agreement.Message) {
-			d.Messages = append(d.Messages, m)
-			bytes += weight(&m)
-		}
-		select {
-		case <-c.ctx.Done():
-			return
-		case <-idle.C:
-			c.mu.Lock()
-			if len(l.q) == 0 {
-				delete(c.lanes, id)
-				c.mu.Unlock()
+		ms := l.take()
+		if len(ms) == 0 {
+			idle.Reset(laneIdle)
+			select {
+			case <-c.ctx.Done():
 				return
+			case <-l.wake:
+			case <-idle.C:
+				c.mu.Lock()
+				if len(l.wake) == 0 { // put is called under the same mutex
+					delete(c.lanes, key)
+					c.mu.Unlock()
+					return
+				}
+				c.mu.Unlock()
 			}
-			c.mu.Unlock()
 			continue
-		case m := <-l.q:
-			take(m)
-		}
-		for len(l.q) > 0 && len(d.Messages) < sendQueue && bytes < mostBatch {
-			take(<-l.q)
 		}
 		conn, err := c.cfg.Conns.To(addr)
 		if err == nil {
-			ctx, cancel := context.WithTimeout(c.ctx, deliverTimeout)
-			_, err = api.CallDeliver(ctx, conn, &d)
+			ctx, cancel := context.WithTimeout(c.ctx, deliverWithin(ms))
+			_, err = api.CallDeliver(ctx, conn, &api.Deliver{From: c.id, Addr: c.cfg.Addr, Messages: ms})
 			cancel()
 		}
-		l.bytes.Add(int64(-bytes))
-		if err != nil {
-			c.cfg.Log.Debug("a member was not reached", "addr", addr, "err", err)
+		l.done()
+		if err == nil {
+			continue
+		}
+		if c.ctx.Err() != nil {
+			return
+		}
+		c.cfg.Log.Debug("a member was not reached", "addr", addr, "bulk", key.bulk, "err", err)
+		if key.bulk {
+			c.mu.Lock()
+			c.node.Lost(key.to)
+			c.mu.Unlock()
 		}
 	}
 }
 
-// Deliver takes in messages of other members.
+// Deliver takes in messages of other members. The two lanes of a member call it side
+// by side: a message may overtake another.
 func (c *Core) Deliver(_ context.Context, d *api.Deliver) (*api.None, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
