--- /dev/null
+++ b/controlplane/faults_test.go
@@ -0,0 +1,188 @@
+package controlplane
+
+import (
+	"context"
+	"errors"
+	"log/slog"
+	"net/http"
+	"testing"
+
+	"github.com/cespare/xxhash/v2"
+	"github.com/fxamacker/cbor/v2"
+
+	"example.org/elmspan/agreement"
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/api"
+	"example.org/elmspan/internal/pack"
+)
+
+// member opens a core member on a disk that holds a snapshot; its two peers are played by the test.
+func openMember(t *testing.T, first agreement.Snapshot) (*Core, *logstore.Store, error) {
+	t.Helper()
+	store, err := logstore.Open(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { store.Close() })
+	first.Members = []agreement.Member{{ID: 1, Addr: "a", Voter: true}, {ID: 2, Addr: "b", Voter: true}, {ID: 3, Addr: "c", Voter: true}}
+	if err := store.Begin(1, first); err != nil {
+		t.Fatal(err)
+	}
+	c, err := NewCore(CoreConfig{Addr: "a", Voters: 3, Store: store, Conns: api.NewConns(nil), Log: slog.New(slog.DiscardHandler), Seed: 1})
+	return c, store, err
+}
+
+// bad is a state that is well formed and can't be told to limiters: its configuration is cut off.
+func bad(t *testing.T, revision uint64) []byte {
+	t.Helper()
+	packed, err := pack.Pack(config(t, revision)[:10])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := cbor.Marshal(State{Revision: revision, Packed: packed})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func good(t *testing.T, revision uint64) []byte {
+	t.Helper()
+	var s State
+	p, err := newProposal(0, revision, config(t, revision))
+	if err != nil || s.Apply(p).Status != http.StatusOK {
+		t.Fatal("no state", err)
+	}
+	data, err := cbor.Marshal(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+// A member whose own state can't be read doesn't begin with an empty one: it says that
+// its disk is corrupt, and the process begins a new member.
+func TestUnreadableStateOnDisk(t *testing.T) {
+	t.Parallel()
+	for name, data := range map[string][]byte{"not CBOR": {0xff, 1, 2}, "no configuration in it": bad(t, 3), "cut off": good(t, 3)[:20]} {
+		if _, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: data}); !errors.Is(err, logstore.ErrCorrupt) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	c, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil || c.state.Revision != 3 || c.configs.Version() != 3 {
+		t.Errorf("one that can be read: %v", err)
+	}
+}
+
+// A snapshot that can't be read is refused as if it had not come: the member stays at
+// what it has, on disk too, and takes the next one that can be read. (It emptied its
+// state, stored the snapshot, and went on.)
+func TestUnreadableSnapshotIsRefused(t *testing.T) {
+	t.Parallel()
+	c, store, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	deliver := func(ms ...agreement.Message) {
+		t.Helper()
+		for i := range ms {
+			ms[i].From, ms[i].To, ms[i].Term = 2, 1, 4
+		}
+		if _, err := c.Deliver(t.Context(), &api.Deliver{From: 2, Addr: "b", Messages: ms}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	install := func(index uint64, data []byte, inPieces bool) {
+		s := agreement.Snapshot{Index: index, Term: 4, Members: c.node.Members(), Data: data}
+		if !inPieces {
+			deliver(agreement.Message{Kind: agreement.Install, Snapshot: &s})
+			return
+		}
+		half := len(data) / 2
+		for _, r := range [][2]int{{0, half}, {half, len(data)}} {
+			p := s
+			p.Data = data[r[0]:r[1]]
+			deliver(agreement.Message{Kind: agreement.Piece, Snapshot: &p, Offset: uint64(r[0]), Size: uint64(len(data)), Sum: xxhash.Sum64(data)})
+		}
+	}
+	for i, inPieces := range []bool{false, true} {
+		install(uint64(9+i), bad(t, 7), inPieces)
+		st, err := store.Load()
+		if err != nil || st.Snapshot.Index != 5 || c.state.Revision != 3 || c.configs.Version() != 3 || c.node.Commit() != 5 || c.halted != "" {
+			t.Fatalf("in pieces %v: revision %d, agreed up to %d, on disk up to %d, %q, %v", inPieces, c.state.Revision, c.node.Commit(), st.Snapshot.Index, c.halted, err)
+		}
+	}
+	if c.node.Refused() != 2 {
+		t.Errorf("%d refused", c.node.Refused())
+	}
+	install(12, good(t, 8), true)
+	if st, err := store.Load(); err != nil || st.Snapshot.Index != 12 || c.state.Revision != 8 || c.configs.Version() != 8 {
+		t.Errorf("after one that can be read: revision %d, on disk up to %d, %v", c.state.Revision, st.Snapshot.Index, err)
+	}
+}
+
+// A member that can't carry on what the others agreed on takes no part any more: it
+// answers nothing from what was before, doesn't lead, and says why. (It logged an error,
+// gave limiters the older rows under a lease, and could lead.)
+func TestMemberThatCanNotApplyHalts(t *testing.T) {
+	t.Parallel()
+	c, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	packed, err := pack.Pack(config(t, 7)[:10])
+	if err != nil {
+		t.Fatal(err)
+	}
+	data, err := cbor.Marshal(proposal{Base: 3, Revision: 7, Packed: packed, Hash: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+	step := func(m agreement.Message) {
+		m.From, m.To, m.Term = 2, 1, 4
+		if _, err := c.Deliver(t.Context(), &api.Deliver{From: 2, Addr: "b", Messages: []agreement.Message{m}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step(agreement.Message{Kind: agreement.Append, Index: 5, LogTerm: 1, Commit: 6, Entries: []agreement.Entry{{Index: 6, Term: 4, Data: data}}})
+	s := c.Status()
+	if s.Halted == "" || s.Revision != 3 || s.Role == agreement.Leader.String() || c.node.Applied() != 5 {
+		t.Errorf("%+v", s)
+	}
+	step(agreement.Message{Kind: agreement.Campaign})
+	for range 100 {
+		c.process()
+	}
+	if c.node.Role() == agreement.Leader || c.node.Term() != 4 || c.halted == "" {
+		t.Errorf("%v of term %d, %q", c.node.Role(), c.node.Term(), c.halted)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if n, err := c.Watch(ctx, &api.Watch{}); err != nil || n.Lease || n.Config != nil {
+		t.Errorf("a limiter is answered: %+v, %v", n, err)
+	}
+	if r, err := c.Get(t.Context(), &api.Read{}); err != nil || r.Status != 0 {
+		t.Errorf("a read is answered: %+v, %v", r, err)
+	}
+	if r, err := c.Replace(t.Context(), &api.Replace{Base: 3, Config: config(t, 9)}); err != nil || r.Status != 0 {
+		t.Errorf("a change is answered: %+v, %v", r, err)
+	}
+	if k, err := c.Confirm(t.Context(), &api.None{}); err != nil || k.OK {
+		t.Errorf("a member is answered: %+v, %v", k, err)
+	}
+}
+
+// What can't be told to limiters is turned down before it is proposed.
+func TestWhatCanNotBeToldIsNotProposed(t *testing.T) {
+	t.Parallel()
+	if err := tellable(make([]byte, api.MaxConfig+1)); err == nil {
+		t.Error("one longer than can be read back")
+	}
+	if err := tellable(config(t, 3)[:10]); err == nil {
+		t.Error("one that is cut off")
+	}
+	if err := tellable(config(t, 3)); err != nil {
+		t.Error(err)
+	}
+}
