--- a/controlplane/register.go
+++ b/controlplane/register.go
@@ -43,10 +43,10 @@
 	case p.term != g.node.Term():
 		return r, true, false
 	}
-	// What is answered from what is known here must be the newest: a leader that
-	// has been cut off must neither read back an old version nor turn a change down
-	// because of one.
-	sure := g.node.Serves() && g.node.Confirmed() >= p.need
+	// What is answered from what is known here must be the newest, and known by one who
+	// is in touch with a majority: a leader that has been cut off must neither read back
+	// an old version, nor turn a change down or confirm it because of one.
+	sure := g.node.Serves() && g.node.Confirmed() >= p.need && g.node.Applied() >= g.node.Commit()
 	if p.get {
 		if !sure {
 			return r, false, true
@@ -60,7 +60,7 @@
 		return r, false, true
 	}
 	if r = g.state.Judge(p.base, p.revision, p.print); r.Status != 0 {
-		if r.Status == http.StatusOK || sure {
+		if sure {
 			return r, true, false
 		}
 		return api.Result{}, false, true
@@ -70,6 +70,9 @@
 		return api.Result{}, true, false
 	}
 	p.index, p.term = index, term
+	if o := g.calls[index]; o != nil { // its entry was cut off here; whether it was agreed on elsewhere is not known
+		o.answer = &api.Result{}
+	}
 	g.calls[index] = p
 	return api.Result{}, false, false
 }
@@ -92,3 +95,11 @@
 	}
 	return news
 }
+
+// drop forgets a call that nobody waits for any more. Its entry may be agreed on
+// all the same.
+func (g *register) drop(p *pending) {
+	if g.calls[p.index] == p {
+		delete(g.calls, p.index)
+	}
+}
--- a/controlplane/serve.go
+++ b/controlplane/serve.go
@@ -84,7 +84,7 @@
 		}
 		c.mu.Lock()
 		if over {
-			delete(c.calls, p.index)
+			c.drop(p)
 			return api.Result{}
 		}
 	}
