Old lists of the core lead no limiter back; operators are answered within the second

Cause 1: a limiter took the list of members also from an answer without a lease. A machine that left the core, or was cut off while others were replaced, tells the list of then; the limiter went on asking it in circles and never a machine of the core, though it knew of one from membership (TestOldListsLeadNowhere: seeds x, spare [x c]: after 40 calls x is asked).

Change: without a lease the list is hearsay, tried in turn with what membership knows once all else has failed, and never in place of what was told under one (process: one line). The wait for a place counts as part of the 0.85 s and takes half of it at most; the body's way doesn't.

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -21,14 +21,19 @@
 const (
 	callTimeout = 600 * time.Millisecond
 	callPause   = 40 * time.Millisecond
-	// operatorWait is how long an operator's call may take: it gives up after a second.
+	// operatorWait is how long an operator's call may take, the time left out in which
+	// its body comes: it gives up after a second. Of it so much at most may go by
+	// before there is room for a body; what is left is enough for the core.
 	operatorWait = 850 * time.Millisecond
+	roomWait     = operatorWait / 2
 	// bodiesInHand configurations are read at a time, each within bodyWait: they are
 	// the largest thing that a process holds for a caller.
 	bodiesInHand = 4
 	bodyWait     = 10 * time.Second
 	// backAfter is when the member that serves this process first is tried again.
 	backAfter = 10 * time.Second
+	// mostHints bounds the members that are known by hearsay.
+	mostHints = 16
 )
 
 // Client calls the core, from any process: the leader with what the operator
@@ -49,6 +54,8 @@
 	moved  time.Time
 	failed int      // members that did not answer, one after the other
 	spare  []string // core machines that are known otherwise
+	hints  []string // by hearsay, and those that were asked before: the latest last
+	strays int      // times that all of addrs had failed, since the core said who is in it
 }
 
 // Learn takes in where the core is.
@@ -61,11 +68,40 @@
 	}
 	rank := func(addr string) uint64 { return xxhash.Sum64String(c.Name + "/" + addr) }
 	next := slices.SortedFunc(slices.Values(addrs), func(a, b string) int { return cmp.Compare(rank(a), rank(b)) })
+	c.strays = 0
 	if !slices.Equal(next, c.addrs) {
 		c.addrs, c.helper, c.failed = next, 0, 0
 	}
 }
 
+// Heard takes in what a member said of the core with its news. Where it said so
+// under a lease, a majority stood behind it after the call, so that it is not of
+// the past. One that gives no lease may have been out of touch for long, or have
+// left the core: what it says is only tried where all else has failed, and never
+// leads back from what was said under a lease.
+func (c *Client) Heard(n *api.News) {
+	if n.Lease {
+		c.Learn(n.Leader, n.Core)
+		return
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.leader == "" {
+		c.leader = n.Leader // it answers itself whether it leads
+	}
+	c.hint(n.Core)
+}
+
+// hint remembers members that may be asked where all else has failed.
+func (c *Client) hint(addrs []string) {
+	for _, a := range addrs {
+		if !slices.Contains(c.hints, a) {
+			c.hints = append(c.hints, a)
+		}
+	}
+	c.hints = slices.Clone(c.hints[max(0, len(c.hints)-mostHints):])
+}
+
 // Spare takes in core machines that are known otherwise than from the core: they
 // are asked where all that the core named have failed, as after it was replaced
 // machine by machine while this process heard nothing of it.
@@ -118,12 +154,26 @@
 	defer c.mu.Unlock()
 	if len(c.addrs) > 0 && c.addrs[c.helper%len(c.addrs)] == addr {
 		c.helper, c.moved = (c.helper+1)%len(c.addrs), time.Now()
-		if c.failed++; c.failed >= 2*len(c.addrs) && len(c.spare) > 0 {
-			c.addrs, c.helper, c.failed = c.spare, 0, 0
+		if c.failed++; c.failed >= 2*len(c.addrs) {
+			c.stray()
 		}
 	}
 }
 
+// stray has others asked, as all that were have failed: in turn the machines that
+// are known otherwise than from the core, and those known by hearsay or before.
+func (c *Client) stray() {
+	next := c.spare
+	if c.strays++; len(next) == 0 || c.strays%2 == 0 && len(c.hints) > 0 {
+		next = c.hints
+	}
+	if len(next) > 0 {
+		before := c.addrs
+		c.addrs, c.helper, c.failed = slices.Clone(next), 0, 0
+		c.hint(before)
+	}
+}
+
 // toLeader calls until a process can say what came of it, or the context ends.
 func (c *Client) toLeader(ctx context.Context, local func(*Core) (*api.Result, error),
 	remote func(context.Context, *grpc.ClientConn) (*api.Result, error)) api.Result {
@@ -183,14 +233,16 @@
 			http.Error(w, "Base-Revision: the number of the version that this one builds on is needed", http.StatusBadRequest)
 			return
 		}
+		came := time.Now()
 		select {
 		case bodies <- struct{}{}:
 			defer func() { <-bodies }()
-		case <-time.After(operatorWait):
+		case <-time.After(roomWait):
 			w.Header().Set("Retry-After", "0.2")
 			http.Error(w, "other configurations are being brought", http.StatusServiceUnavailable)
 			return
 		}
+		left := operatorWait - time.Since(came)
 		// A recorder in a test has no deadline; a connection always has.
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(bodyWait))
 		body, err := readBody(http.MaxBytesReader(w, r.Body, api.MaxConfig), r.ContentLength)
@@ -202,7 +254,7 @@
 			http.Error(w, "the configuration can't be read whole: "+err.Error(), status)
 			return
 		}
-		c.answer(w, r, func(ctx context.Context) api.Result {
+		c.answer(w, r, left, func(ctx context.Context) api.Result {
 			return c.Replace(ctx, &api.Replace{Base: base, Config: body})
 		})
 	})
@@ -217,7 +269,7 @@
 		e.Encode(v) // a caller that is gone needs no answer
 	})
 	read := func(w http.ResponseWriter, r *http.Request, q *api.Read) {
-		c.answer(w, r, func(ctx context.Context) api.Result { return c.Get(ctx, q) })
+		c.answer(w, r, operatorWait, func(ctx context.Context) api.Result { return c.Get(ctx, q) })
 	}
 	mux.HandleFunc("GET /v1/Config.Get", func(w http.ResponseWriter, r *http.Request) {
 		q := &api.Read{}
@@ -246,8 +298,9 @@
 	return body, err
 }
 
-func (c *Client) answer(w http.ResponseWriter, r *http.Request, call func(context.Context) api.Result) {
-	ctx, cancel := context.WithTimeout(r.Context(), operatorWait)
+// answer answers an operator's call with what comes of it within a time.
+func (c *Client) answer(w http.ResponseWriter, r *http.Request, within time.Duration, call func(context.Context) api.Result) {
+	ctx, cancel := context.WithTimeout(r.Context(), within)
 	defer cancel()
 	res := call(ctx)
 	c.Log.Info("operator", "call", r.URL.Path, "base", r.Header.Get("Base-Revision"), "status", res.Status, "why", res.Why)
--- a/controlplane/client_test.go
+++ b/controlplane/client_test.go
@@ -6,7 +6,11 @@
 	"log/slog"
 	"net/http"
 	"net/http/httptest"
+	"slices"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	"example.org/elmspan/api"
 )
@@ -58,3 +62,81 @@
 		t.Errorf("one that is too long is answered %d", code)
 	}
 }
+
+// Where no core is in reach, every operator's call is answered 503 within the
+// second that he waits, with when to come back, also where eight come at once and
+// wait for each other.
+func TestNoAnswerComesInTime(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		h := (&Client{Log: slog.New(slog.DiscardHandler)}).Handler()
+		var calls sync.WaitGroup
+		for i := range 2 * bodiesInHand {
+			r := httptest.NewRequest(http.MethodPost, "/v1/Config.Replace", bytes.NewReader([]byte("x")))
+			r.Header.Set("Base-Revision", "0")
+			if i%3 == 0 {
+				r = httptest.NewRequest(http.MethodGet, "/v1/Config.Get", nil)
+			}
+			calls.Go(func() {
+				time.Sleep(time.Duration(i) * 50 * time.Millisecond) // the bubble's clock
+				began, w := time.Now(), httptest.NewRecorder()
+				h.ServeHTTP(w, r)
+				if took := time.Since(began); took >= time.Second || w.Code != http.StatusServiceUnavailable || w.Header().Get("Retry-After") == "" {
+					t.Errorf("call %d: %d after %v, Retry-After %q", i, w.Code, took, w.Header().Get("Retry-After"))
+				}
+			})
+		}
+		calls.Wait()
+	})
+}
+
+// A core was replaced machine by machine while a process heard nothing of it; a
+// machine that left the core long ago lives on, is in reach, and goes on telling
+// who was in it. It does not lead the process back there, whatever comes first: one
+// that is in the core is found.
+func TestOldListsLeadNowhere(t *testing.T) {
+	old, now := []string{"a:1", "b:1", "x:1"}, []string{"c:1", "d:1", "e:1"}
+	for _, seeds := range [][]string{old, {"x:1"}, {"a:1", "x:1"}} {
+		for _, spare := range [][]string{{"x:1", "c:1"}, {"c:1", "x:1"}} {
+			c := &Client{Name: "edge-1"}
+			c.Learn("", seeds)
+			c.Spare(spare)
+			asked := 0
+			for ; asked < 40; asked++ {
+				at := c.Helper()
+				if slices.Contains(now, at) {
+					c.Heard(&api.News{Lease: true, Leader: "d:1", Core: now})
+					break
+				}
+				if at == "x:1" {
+					c.Heard(&api.News{Leader: "a:1", Core: old})
+				}
+				c.HelperFailed(at)
+			}
+			if at := c.Helper(); !slices.Contains(now, at) {
+				t.Errorf("seeds %v, spare %v: after %d calls %s is asked", seeds, spare, asked, at)
+			}
+			c.Heard(&api.News{Leader: "a:1", Core: old}) // late
+			if at := c.Helper(); !slices.Contains(now, at) || c.Next() != "d:1" {
+				t.Errorf("seeds %v, spare %v: led back to %s by a late answer", seeds, spare, at)
+			}
+		}
+	}
+}
+
+// A process whose seeds name one machine alone, which left the core, is told by it
+// where to go on.
+func TestHearsayIsFollowedInTheEnd(t *testing.T) {
+	c := &Client{Name: "edge-1"}
+	c.Learn("", []string{"x:1"})
+	for range 10 {
+		at := c.Helper()
+		if at == "a:1" {
+			return
+		}
+		if at == "x:1" {
+			c.Heard(&api.News{Core: []string{"x:1", "a:1"}})
+		}
+		c.HelperFailed(at)
+	}
+	t.Error("nobody else is asked")
+}
--- a/process/news.go
+++ b/process/news.go
@@ -100,7 +100,7 @@
 		p.passOver(addr)
 		return false
 	}
-	p.client.Learn(n.Leader, n.Core)
+	p.client.Heard(n)
 	if !n.Lease {
 		p.passOver(addr)
 		return false
