--- a/controlplane/history_test.go
+++ b/controlplane/history_test.go
@@ -213,7 +213,9 @@
 		m.node.Advance(r)
 		if news && m.node.Role() == agreement.Leader && w.chance(30) {
 			w.answer(id) // what was acknowledged was acknowledged; then power is lost
-			w.closing(id)
+			if w.members[id] == m {
+				w.closing(id)
+			}
 			return
 		}
 	}
@@ -838,9 +840,14 @@
 	var all sync.WaitGroup
 	for range 4 {
 		all.Go(func() {
+			var seed uint64
+			defer func() {
+				if p := recover(); p != nil {
+					panic(fmt.Sprintf("seed %d: %v", seed, p))
+				}
+			}()
 			for !failed.Load() {
-				seed := next.Add(1) - 1
-				if seed >= n {
+				if seed = next.Add(1) - 1; seed >= n {
 					return
 				}
 				if err := run(seed); err != nil {
--- a/controlplane/state_test.go
+++ b/controlplane/state_test.go
@@ -123,6 +123,24 @@
 	}
 }
 
+// From which version on all are remembered is known, not guessed from how many are.
+func TestOldestRemembered(t *testing.T) {
+	before := State{Revision: 4, Plain: []byte("four")} // written before any were remembered
+	if got := bring(t, &before, 4, 6, []byte("six")); got != http.StatusOK {
+		t.Fatal(got)
+	}
+	if got := bring(t, &before, 3, 4, []byte("four")); got != http.StatusServiceUnavailable {
+		t.Errorf("what was taken before any were remembered: %d", got)
+	}
+	var whole State
+	for i := range uint64(2 * oldMostTaken) {
+		bring(t, &whole, whole.Revision, 5+i, fmt.Append(nil, i))
+	}
+	if got := bring(t, &whole, 0, 3, []byte("lost")); got != http.StatusPreconditionFailed {
+		t.Errorf("a number below the first, where all are remembered: %d", got)
+	}
+}
+
 // What remembers other versions than it can have is no state to begin with.
 func TestRememberedVersionsAreChecked(t *testing.T) {
 	for name, spoil := range map[string]func(*State){
