Filings get no connection that rested too long when the fresher one is dead

Cause: TakeFresh looked at the connection that rested least, let go of the lock, and called Take, which goes on to older ones where the first was closed by its server (or taken by another request meanwhile). A filing then went out on a connection that may have been forgotten, and was answered 502. Ruled out: Take itself for repeatable requests, which go by the pool's own limit. Change: one pass under one lock, each connection held against the limit.

--- a/internal/connpool/ages.go
+++ b/internal/connpool/ages.go
@@ -113,9 +113,12 @@
 	c.until = now.Add(carefulFor)
 }
 
-// allows tells whether a connection that rested so long may be used.
-func (c *careful) allows(now time.Time, rested time.Duration) bool {
-	return now.After(c.until) || rested < c.limit
+// most is how long a connection may have rested to be used.
+func (c *careful) most(now time.Time) time.Duration {
+	if now.After(c.until) {
+		return ageForever
+	}
+	return c.limit
 }
 
 // Forgot takes in that a connection of a group ([Conn.Age]) was forgotten while it
@@ -136,16 +139,11 @@
 // that one that broke at once may have been forgotten.
 func rested(group int) bool { return group >= 1 && group < ageGroups }
 
-// TakeFresh is [Pool.Take] for a request that must not run twice.
+// TakeFresh is [Pool.Take] for a request that must not run twice. Each connection that
+// it comes to is looked at, as the one that rested least may turn out to be closed.
 func (p *Pool[K]) TakeFresh(h *Host[K]) *Conn[K] {
 	p.mu.Lock()
-	if n := len(h.idle); n > 0 {
-		now := time.Now()
-		if !p.careful.allows(now, now.Sub(h.idle[n-1].IdleAt)) { // the one that rested least
-			p.mu.Unlock()
-			return nil
-		}
-	}
+	limit := p.careful.most(time.Now())
 	p.mu.Unlock()
-	return p.Take(h)
+	return p.take(h, limit)
 }
--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -183,11 +183,18 @@
 }
 
 // Take returns the idle connection of a host that was used last, or nil.
-func (p *Pool[K]) Take(h *Host[K]) *Conn[K] {
+func (p *Pool[K]) Take(h *Host[K]) *Conn[K] { return p.take(h, ageForever) }
+
+// take returns the idle connection of a host that was used last, unless it has rested
+// for as long as the limit, or nil.
+func (p *Pool[K]) take(h *Host[K], limit time.Duration) *Conn[K] {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for len(h.idle) > 0 {
 		c := h.idle[len(h.idle)-1]
+		if time.Since(c.IdleAt) >= limit { // the others have rested longer yet
+			return nil
+		}
 		h.idle = h.idle[:len(h.idle)-1]
 		if p.sound(c) {
 			return c
