One table decides what a try means; no failure that broke off crosses to the next

Cause, each by a test that failed first (dataplane/crossing_test.go): - a server's failure (4xx, 5xx) whose body broke off, or was longer than 32 KB, went out with its own Content-Length and less body, and the client's connection went on: the next answer's bytes were read as its rest; in chunks it looked complete. Now 502 server_failed, or passed through as it comes where it is only long; - a try given up just after its answer closed a connection that the pool had taken back, and that another request might have: exchange put it back before the callback was stopped. Now after; - a filing pipelined behind requests under way was sent before its turn; if the connection ended with one before, its client counts it as not read. Now it waits for its turn; - 100 Continue was written while an answer before was being written, in the middle of its body; - a server that refuses before it has had the whole body (write error) was not listened to: 502 where its Not-Executed stood there. Final says 503 where nothing ran, also for long bodies; - a request without Attempt-Id was sent though no answer could be told to be its own: now 400; - Connection: Host, Attempt-Id or Server-Seal dropped these. Ruled out: heads and copies from sync.Pool (each Write is over before Put; -race), hedges' late answers (connection closed), bytes buffered behind an answer (not reused). Change: package dataplane/attempt holds what was judge, exchange's returns, ownAnswer's checks and limiter.Flight's ends, without I/O; the gateway puts it into effect.

--- a/dataplane/answer.go
+++ b/dataplane/answer.go
@@ -173,5 +173,19 @@
 	case "connection", "keep-alive", "proxy-connection", "te", "trailer", "transfer-encoding", "upgrade", "content-length":
 		return true
 	}
-	return h.Has("Connection", name)
+	return !forAll(name) && h.Has("Connection", name)
+}
+
+// forAll tells of fields that are for the receiver at the far end whatever Connection
+// says: without them a request is another one, and an answer is nobody's.
+func forAll(name string) bool {
+	switch len(name) { // most are neither
+	case 4:
+		return strings.EqualFold(name, "Host")
+	case 10:
+		return strings.EqualFold(name, "Attempt-Id")
+	case 11:
+		return strings.EqualFold(name, "Server-Seal")
+	}
+	return false
 }
--- /dev/null
+++ b/dataplane/crossing_test.go
@@ -0,0 +1,297 @@
+package dataplane
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/dataplane/h1"
+)
+
+// A server's failure that breaks off is not passed on as if it were whole, and takes
+// nothing of the answer behind it: the client's next answer is its own from its first
+// byte. One that is whole goes back whole, however long. (docs/incidents/0010)
+func TestFailuresThatBreakOff(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("0123456789abcdef", 4000) // more than is held
+	for _, status := range []string{"500 x", "404 x", "504 x", "501 x"} {
+		for name, c := range map[string]struct {
+			framing, body string
+			breaks        bool
+		}{
+			"short of its length":    {framing: "Content-Length: 90", body: "half", breaks: true},
+			"within a chunk":         {framing: "Transfer-Encoding: chunked", body: "9\r\nhalf", breaks: true},
+			"between chunks":         {framing: "Transfer-Encoding: chunked", body: "4\r\nhalf\r\n", breaks: true},
+			"no chunk":               {framing: "Transfer-Encoding: chunked", body: "no chunk\r\n", breaks: true},
+			"long, short of its end": {framing: fmt.Sprintf("Content-Length: %d", len(long)+9), body: long, breaks: true},
+			"long":                   {framing: fmt.Sprintf("Content-Length: %d", len(long)), body: long},
+			"long, in chunks":        {framing: "Transfer-Encoding: chunked", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)},
+		} {
+			b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+				if h.Target != "/once/" {
+					return good("the next one's")(w, h, body)
+				}
+				fmt.Fprintf(w, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\n%s\r\n\r\n%s", status, h.Get("Attempt-Id"), c.framing, c.body)
+				return !c.breaks
+			})
+			k := dial(t, newGateway(t, b))
+			k.send("POST /once/", "Content-Length: 4\r\n", "body")
+			k.send("GET /get/", "", "") // what would be taken for the rest
+			h, got, err := k.answer()
+			switch {
+			case !c.breaks && (err != nil || !strings.HasPrefix(status, fmt.Sprint(h.Status)) || got != long):
+				t.Errorf("%s, %s: %+v, %d bytes, %v; want the server's", status, name, h, len(got), err)
+			case c.breaks && err == nil && h.Status != 502:
+				t.Errorf("%s, %s: %+v %.40q looks complete", status, name, h, got)
+			}
+			if err != nil { // visibly incomplete: the connection has ended with it
+				if _, err := k.in.ReadByte(); err == nil {
+					t.Errorf("%s, %s: something follows", status, name)
+				}
+				continue
+			}
+			if h, got, err := k.answer(); err != nil || h.Status != 200 || got != "the next one's" {
+				t.Errorf("%s, %s: the next one: %+v %q, %v", status, name, h, got, err)
+			}
+		}
+	}
+}
+
+// givenUp is a connection that calls back when its deadline is taken off, as is done
+// when it is put back into the pool.
+type givenUp struct {
+	*net.TCPConn
+	put func()
+}
+
+func (c givenUp) SetDeadline(t time.Time) error {
+	if t.IsZero() {
+		c.put()
+	}
+	return c.TCPConn.SetDeadline(t)
+}
+
+// A try that is given up just after its answer came closes no connection that the pool
+// has taken back: whoever takes it next may have sent a filing on it. (docs/incidents/0011)
+func TestGivingUpClosesNoOnesElse(t *testing.T) {
+	t.Parallel()
+	g := newGateway(t, newBackend(t, good("own")))
+	host := g.pool.Host("i-0")
+	c, err := g.pool.Connect(context.Background(), host)
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	tcp := c.Conn.(*net.TCPConn)
+	g.pool.Put(c)
+	c.Conn = givenUp{tcp, cancel}
+	r := &request{head: &h1.Head{Method: "GET", Target: "/get/", Fields: []h1.Field{{Name: "Host", Value: "h"}, {Name: "Attempt-Id", Value: "a1"}}},
+		route: g.view.Load().route("h", "/get/"), deadline: time.Now().Add(patience)}
+	g.mu.Lock()
+	m := g.limiter.Members()[0]
+	g.mu.Unlock()
+	o := g.try(r, &serverTry{member: m, ctx: ctx, cancel: cancel, host: host}, host)
+	if ctx.Err() == nil {
+		t.Fatal("the connection was not put back")
+	}
+	if o.result != balance.Good || g.pool.Idle("i-0") != 1 || g.pool.Open() != 1 {
+		t.Errorf("result %d, %d idle, %d open; want an answer and its connection kept", o.result, g.pool.Idle("i-0"), g.pool.Open())
+	}
+	if g.pool.Take(host) != c {
+		t.Error("the connection that was put back is closed")
+	}
+}
+
+// A request that must not run twice is sent on only when its turn to be answered has
+// come: if the connection ends with an answer before, it counts as not read, and its
+// client sends it again.
+func TestFilingsWaitForTheirTurn(t *testing.T) {
+	t.Parallel()
+	begun, breakOff := make(chan struct{}), make(chan struct{})
+	var filed atomic.Int64
+	b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+		if h.Target == "/once/" {
+			filed.Add(1)
+			return good("filed")(w, h, body)
+		}
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", 2*holdAnswer, strings.Repeat("x", holdAnswer))
+		close(begun)
+		<-breakOff
+		return false
+	})
+	g := newGateway(t, b)
+	c := dial(t, g)
+	c.send("GET /get/", "", "")
+	<-begun
+	c.send("POST /once/", "Content-Length: 4\r\n", "body")
+	untilRead(t, g, 2)
+	close(breakOff)
+	if h, _, err := c.answer(); err == nil {
+		t.Errorf("%+v looks complete", h)
+	}
+	untilGone(t, g)
+	if n := filed.Load(); n != 0 {
+		t.Errorf("ran %d times behind an answer that ended the connection", n)
+	}
+}
+
+// untilRead waits until a gateway's only connection has had so many requests.
+func untilRead(t *testing.T, g *Gateway, n int) {
+	t.Helper()
+	wait(t, func() bool {
+		for c := range g.conns {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			return c.seq >= n
+		}
+		return false
+	}, g)
+}
+
+// untilGone waits until a gateway has no connection of clients.
+func untilGone(t *testing.T, g *Gateway) {
+	t.Helper()
+	wait(t, func() bool { return len(g.conns) == 0 }, g)
+}
+
+// wait waits until something holds, which is asked under the gateway's mutex.
+func wait(t *testing.T, holds func() bool, g *Gateway) {
+	t.Helper()
+	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
+		g.mu.Lock()
+		ok := holds()
+		g.mu.Unlock()
+		if ok {
+			return
+		}
+		if time.Now().After(end) {
+			t.Fatal("it never came to that")
+		}
+	}
+}
+
+// What announces that a body is welcome does not stand inside another answer.
+func TestContinueWaitsForItsTurn(t *testing.T) {
+	t.Parallel()
+	const n = 2 * holdAnswer
+	body := strings.Repeat("x", n)
+	begun, goOn := make(chan struct{}), make(chan struct{})
+	b := newBackend(t, func(w io.Writer, h *h1.Head, got []byte) bool {
+		if h.Target == "/once/" {
+			return good(string(got))(w, h, nil)
+		}
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", n, body[:n/2])
+		close(begun)
+		<-goOn
+		io.WriteString(w, body[n/2:])
+		return true
+	})
+	g := newGateway(t, b)
+	c := dial(t, g)
+	c.send("GET /get/", "", "")
+	<-begun
+	if h, err := h1.ReadAnswer(c.in, 1<<16); err != nil || h.Status != 200 {
+		t.Fatalf("%+v, %v", h, err)
+	}
+	c.send("POST /once/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
+	untilRead(t, g, 2)
+	close(goOn)
+	got := make([]byte, n)
+	if _, err := io.ReadFull(c.in, got); err != nil || string(got) != body {
+		t.Errorf("the first body holds what is not its own: %v", err)
+	}
+	if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+		t.Fatalf("%q, %v", line, err)
+	}
+	if _, err := c.in.ReadString('\n'); err != nil {
+		t.Fatal(err)
+	}
+	io.WriteString(c, "body")
+	c.want(200, "body")
+}
+
+// A request without an id is not sent: its answer could not be told from another's.
+func TestNothingGoesWithoutAnId(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, good("yes"))
+	c := dial(t, newGateway(t, b))
+	fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nContent-Length: 4\r\n\r\nbody")
+	c.want(400, "")
+	if n := b.seen.Load(); n != 0 {
+		t.Errorf("it was sent %d times", n)
+	}
+}
+
+// Fields that are for the server stay, also where a client or a server calls them its
+// connection's own: without Host or the id a request is another one, without id or
+// seal an answer is nobody's (RFC 9110, 7.6.1).
+func TestWhatIsForAllIsPassedOn(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nConnection: Server-Seal, Attempt-Id, X\r\nX: 1\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
+		return true
+	})
+	c := dial(t, newGateway(t, b))
+	c.send("GET /get/", "Connection: Host, Attempt-Id, Y\r\nY: 1\r\n", "")
+	h := c.want(200, "")
+	if h.Get("Server-Seal") != "s" || h.Get("Attempt-Id") != "a1" || h.Get("X") != "" {
+		t.Errorf("the client gets %+v", h)
+	}
+	if got := b.last.Load(); got.Get("Host") != "h" || got.Get("Attempt-Id") != "a1" || got.Get("Y") != "" {
+		t.Errorf("the server gets %+v", got)
+	}
+}
+
+// What a server says before it has had the whole body counts: that it has not run the
+// request is the one thing that lets a filing be sent again.
+func TestAnswerBeforeTheBodyIsWhole(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			h, err := h1.ReadRequest(bufio.NewReader(c), 1<<16)
+			if err == nil {
+				fmt.Fprintf(c, "HTTP/1.1 503 x\r\nNot-Executed: full\r\nAttempt-Id: %s\r\nContent-Length: 0\r\nConnection: close\r\n\r\n", h.Get("Attempt-Id"))
+			}
+			c.Close() // with what it has not read: a reset
+		}
+	}()
+	c := dial(t, newGateway(t, &backend{addr: l.Addr().String()}))
+	const long = 1 << 20
+	go c.send("POST /once/", fmt.Sprintf("Content-Length: %d\r\n", long), strings.Repeat("x", long))
+	if h := c.want(503, ""); h.Get("Retry-After") == "" {
+		t.Error("it is not said when to come back")
+	}
+}
+
+// BenchmarkForward is one small GET through the gateway, on kept connections, with its
+// client and its server in the same process.
+func BenchmarkForward(b *testing.B) {
+	server := newBackend(b, good("a small answer"))
+	g := newGateway(b, server)
+	c := dial(b, g)
+	ask := []byte("GET /get/x HTTP/1.1\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\n\r\n")
+	c.SetDeadline(time.Time{})
+	b.ReportAllocs()
+	for b.Loop() {
+		c.Write(ask)
+		if h, _, err := c.answer(); err != nil || h.Status != 200 {
+			b.Fatal(h, err)
+		}
+	}
+}
--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -16,15 +16,15 @@
 	g      *Gateway
 	r      *request
 	course *limiter.Flight // under the gateway's mutex
-	ended  chan *attempt
-	out    []*attempt
+	ended  chan *serverTry
+	out    []*serverTry
 	last   *answer // a failure of a server's
 	// granted is closed when the request has its place on the link.
 	granted chan struct{}
 }
 
-// attempt is one server's try.
-type attempt struct {
+// serverTry is a try at one server.
+type serverTry struct {
 	member *balance.Member
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -37,7 +37,7 @@
 }
 
 func newFlight(g *Gateway, r *request) *flight {
-	f := &flight{g: g, r: r, ended: make(chan *attempt, max(1, r.route.Retries))}
+	f := &flight{g: g, r: r, ended: make(chan *serverTry, max(1, r.route.Retries))}
 	f.course = g.limiter.NewFlight(limiter.Request{Service: r.service, Route: r.route.Name, Bulk: r.route.Type == api.Download, Repeatable: r.route.Repeatable(),
 		Held: r.stream == nil, Tries: r.route.Retries, ArrivedMs: inMs(r.arrived.Sub(g.start)), DeadlineMs: inMs(r.deadline.Sub(g.start)),
 		AimMs: inMs(r.route.aim)})
@@ -135,7 +135,7 @@
 		}
 		return nil, false
 	}
-	at := &attempt{member: m, sentAt: time.Now(), load: m.Load(inMs(now)) - 1, hedge: hedge, host: g.pool.Host(m.ID)}
+	at := &serverTry{member: m, sentAt: time.Now(), load: m.Load(inMs(now)) - 1, hedge: hedge, host: g.pool.Host(m.ID)}
 	if wait, counts := f.course.LateMs(inMs(now), m); counts {
 		at.late = millis(wait)
 	}
@@ -150,8 +150,8 @@
 	return nil, true
 }
 
-// work carries an attempt out.
-func (f *flight) work(at *attempt) {
+// work carries a try out.
+func (f *flight) work(at *serverTry) {
 	g := f.g
 	at.outcome = outcome{result: balance.Unsent}
 	if at.late > 0 {
@@ -199,7 +199,7 @@
 		}
 	}
 	for len(f.out) > 0 {
-		var at *attempt
+		var at *serverTry
 		select {
 		case at = <-f.ended:
 		case <-slow:
@@ -217,7 +217,7 @@
 		f.last = nil
 		return a
 	}
-	switch f.course.Status(inMs(f.g.now()), f.r.started) {
+	switch f.course.Status(inMs(f.g.now())) {
 	case 503:
 		return noneTook.answer(fullAdvice)
 	case 504:
@@ -227,7 +227,7 @@
 }
 
 // take goes on after an attempt has ended. An answer that is returned is final.
-func (f *flight) take(at *attempt) *answer {
+func (f *flight) take(at *serverTry) *answer {
 	next := f.course.Ended(at.result, at.ran, at.answer != nil, f.r.started)
 	if next == limiter.Deliver {
 		return f.arrived(at.answer)
@@ -246,7 +246,7 @@
 	return nil
 }
 
-func (f *flight) drop(at *attempt) {
+func (f *flight) drop(at *serverTry) {
 	for i, o := range f.out {
 		if o == at {
 			f.out = append(f.out[:i], f.out[i+1:]...)
@@ -255,7 +255,7 @@
 	}
 }
 
-// giveUp ends the attempts that are still out, and lets go of what they bring.
+// giveUp ends the tries that are still out, and lets go of what they bring.
 func (f *flight) giveUp() {
 	if f.last != nil {
 		f.last.release()
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"example.org/elmspan/dataplane/attempt"
 	"example.org/elmspan/dataplane/balance"
 	"example.org/elmspan/dataplane/h1"
 	"example.org/elmspan/dataplane/link"
@@ -30,7 +31,8 @@
 type outcome struct {
 	result balance.Result
 	ran    bool    // the server may have run it
-	answer *answer // what it said, if that is of use
+	answer *answer // what its client can be told, if anything
+	keep   bool    // the connection may carry another request
 }
 
 // handle works on a request until there is a final answer.
@@ -45,13 +47,17 @@
 	}
 	r.service = r.route.service(g.rng.Float64())
 	g.limiter.SaveUp(r.service)
+	if r.head.Get("Attempt-Id") == "" { // its answer could not be told from another's
+		g.mu.Unlock()
+		return malformed(400, "an Attempt-Id is needed")
+	}
 	f := newFlight(g, r)
 	g.mu.Unlock()
 	return f.run()
 }
 
 // try sends a request to one server and reads its answer.
-func (g *Gateway) try(r *request, at *attempt, host *connpool.Host[string]) outcome {
+func (g *Gateway) try(r *request, at *serverTry, host *connpool.Host[string]) outcome {
 	m := at.member
 	for {
 		take := g.pool.Take
@@ -80,114 +86,134 @@
 			return outcome{result: balance.Moved}
 		}
 		stop := context.AfterFunc(at.ctx, c.Close)
-		o, stale := g.exchange(r, m, c)
+		o := g.exchange(r, m, c)
 		if !stop() { // given up: its connection is closed
 			if o.answer != nil {
 				o.answer.release()
 			}
 			return outcome{result: balance.Beaten, ran: true}
 		}
-		if stale && kept {
-			continue
+		// Only now is it certain that giving up closes nothing that another has.
+		switch streams := o.answer != nil && o.answer.rest != nil; {
+		case o.keep:
+			g.pool.Put(c)
+		case !streams:
+			c.Close()
+		}
+		if o.result == balance.Unsent && kept {
+			continue // it turned out dead before a byte was written
 		}
 		return o
 	}
 }
 
-// exchange writes the request and reads the answer. It is stale if the
-// connection turned out dead before a byte was written.
-func (g *Gateway) exchange(r *request, m *balance.Member, c *conn) (o outcome, stale bool) {
-	free := func(reuse bool) {
-		if reuse && c.In.Buffered() == 0 {
-			g.pool.Put(c)
-		} else {
-			c.Close()
-		}
-	}
+// exchange writes the request and reads the answer. The connection is its caller's, or
+// the answer's where that is not read whole.
+func (g *Gateway) exchange(r *request, m *balance.Member, c *conn) outcome {
 	c.SetDeadline(r.deadline)
 	if c.Used && !c.Quiet() {
-		c.Close()
-		return outcome{result: balance.Unsent}, true
+		return outcome{result: balance.Unsent}
 	}
 	age, sent := c.Age(), time.Now()
 	c.Expect(math.MaxInt)
+	e := attempt.Evidence{Written: attempt.Whole, NoBody: r.head.Method == "HEAD"}
 	b := heads.Get().(*bytes.Buffer)
 	b.Reset()
 	r.writeHead(b, m.ID)
 	g.link.Count(b.Len())
 	n, err := c.Write(b.Bytes())
 	heads.Put(b)
-	if err != nil && n == 0 {
+	switch {
+	case err != nil && n == 0:
 		c.Note(age, true)
-		c.Close()
-		return outcome{result: balance.Unsent}, true
-	}
-	if err == nil && r.stream != nil {
+		return outcome{result: g.rules.Judge(attempt.Evidence{Written: attempt.Nothing}).Result}
+	case err == nil && r.stream != nil:
 		r.started = true
 		err = r.streamTo(c, g.view.Load().maxBody, g.link)
-		var e *h1.Error
-		if errors.As(err, &e) { // the client's fault
-			c.Close()
-			return outcome{result: balance.Given, ran: true, answer: &answer{status: e.Status, reason: "malformed", why: e.Why, closes: true}}, false
+		var fault *h1.Error
+		if errors.As(err, &fault) {
+			e.Written, e.Seen = attempt.Part, attempt.Aborted
+			return g.outcome(e, &answer{status: fault.Status, reason: "malformed", why: fault.Why, closes: true})
 		}
 	}
-	var head *h1.Head
-	strays := 0
-	if err == nil {
-		head, strays, err = ownAnswer(c.In, r.head)
+	if err != nil { // its answer may stand there all the same: a server need not read all that it turns away
+		e.Written = attempt.Part
 	}
+	head, err := g.ownAnswer(c.In, r.head, &e.Strays)
 	c.Note(age, c.Died() != nil)
 	if c.Forgotten(age) && time.Since(sent) < forgottenIn {
 		g.forgotten(m.ID, age)
 	}
-	if strays > 0 {
-		g.strayed(m.ID, strays, err)
-	}
-	if err != nil {
-		c.Close()
-		return outcome{result: balance.Failed, ran: true}, false
-	}
-	framing, err := head.AnswerBody(r.head.Method)
-	good := head.Status/100 == 2
-	switch {
-	case good && (head.Get("Server-Seal") == "" || head.Get("Content-Encoding") != "" || framing == h1.TillEnds):
-		err = errors.New("the answer is not the server's")
+	if e.Strays > 0 {
+		g.strayed(m.ID, e.Strays, err)
 	}
 	if err != nil {
-		c.Close()
-		return outcome{result: balance.Failed, ran: true}, false
+		return g.outcome(e, nil)
 	}
-	// A server that has lost count once may do so again on this connection; and to
-	// pass over a stray answer to HEAD one would have to know that it is one.
-	reuse := !head.Closes() && framing != h1.TillEnds && strays == 0 && r.head.Method != "HEAD"
 	c.KeepFor = head.KeepAlive()
+	return g.read(c, e, r.head.Method, head)
+}
+
+// read reads the body behind the head of an answer, as far as that is to be read before
+// a byte of it goes out.
+func (g *Gateway) read(c *conn, e attempt.Evidence, method string, head *h1.Head) outcome {
+	framing, err := head.AnswerBody(method)
+	if err != nil { // no answer that two would read alike
+		return g.outcome(e, nil)
+	}
+	e.Seen, e.Status, e.NotExecuted = attempt.Broken, head.Status, head.Get("Not-Executed") != ""
+	e.Sealed = head.Get("Server-Seal") != "" && head.Get("Content-Encoding") == "" && framing != h1.TillEnds
+	e.Closes = head.Closes() || framing == h1.TillEnds
 	a := &answer{status: head.Status, from: head, length: framing}
 	body := h1.NewBody(c.In, framing)
-	if framing >= 0 && framing <= holdAnswer || !good || r.head.Method == "HEAD" {
-		limit := int64(holdAnswer)
-		if a.body, err = io.ReadAll(io.LimitReader(body, limit)); err == nil && !body.Done() {
-			err = errors.New("a failure's body is too long")
+	good := head.Status/100 == 2
+	if good && !e.Sealed {
+		return g.outcome(e, nil)
+	}
+	if !good || framing >= 0 && framing <= holdAnswer {
+		a.body, err = io.ReadAll(io.LimitReader(body, holdAnswer))
+		switch {
+		case err != nil:
+			return g.outcome(e, nil)
+		case body.Done():
+			a.length = int64(len(a.body))
+			e.Seen, e.Behind = attempt.Answered, c.In.Buffered()
+			o := g.outcome(e, a)
+			o.keep = g.rules.Reusable(e)
+			return o
 		}
-		if err != nil {
+	}
+	e.Seen = attempt.Begun
+	a.rest, a.free = body, g.freeing(c, e)
+	return g.outcome(e, a)
+}
+
+// freeing returns what lets go of the connection of an answer that has begun. (By
+// itself, so that the evidence on all others stays on the stack.)
+func (g *Gateway) freeing(c *conn, e attempt.Evidence) func(whole bool) {
+	return func(whole bool) {
+		if e.Seen, e.Behind = attempt.Answered, c.In.Buffered(); whole && g.rules.Reusable(e) {
+			g.pool.Put(c)
+		} else {
 			c.Close()
-			if !good { // the status alone says enough
-				return judge(a, false)
-			}
-			return outcome{result: balance.Failed, ran: true}, false
 		}
-		a.length = int64(len(a.body))
-		free(reuse)
-		return judge(a, good)
 	}
-	a.rest = body
-	a.free = func(whole bool) { free(reuse && whole) }
-	return outcome{result: balance.Good, ran: true, answer: a}, false
 }
 
-const (
-	mostStrays = 2       // answers that belong to no request, before one's own
-	strayBody  = 1 << 20 // bytes that are read past of each
-)
+// outcome is how a try ended, by what was seen of it and the answer that this brought.
+func (g *Gateway) outcome(e attempt.Evidence, a *answer) outcome {
+	v := g.rules.Judge(e)
+	o := outcome{result: v.Result, ran: v.Ran}
+	switch v.Say {
+	case attempt.Servers, attempt.Fault:
+		o.answer = a
+	case attempt.Failure:
+		o.answer = barePledge.answer(0)
+	}
+	return o
+}
+
+const strayBody = 1 << 20 // bytes that are read past of an answer to another request
 
 var errStray = errors.New("the answer is not to this request")
 
@@ -195,26 +221,26 @@
 // server that has stuttered sends a second answer to an earlier request where the
 // next one is due. Its id tells, and the request's own answer stands behind it. An
 // answer without an id could be anybody's: nothing that follows can be trusted.
-func ownAnswer(in *bufio.Reader, req *h1.Head) (h *h1.Head, strays int, err error) {
+// It counts the answers that were not this request's.
+func (g *Gateway) ownAnswer(in *bufio.Reader, req *h1.Head, strays *int) (*h1.Head, error) {
 	for {
-		if h, err = h1.ReadAnswer(in, maxAnswerHead); err != nil {
-			return nil, strays, err
-		}
-		id := h.Get("Attempt-Id")
-		known := id != "" && h.Count("Attempt-Id") == 1
-		if known && id == req.Get("Attempt-Id") {
-			return h, strays, nil
+		h, err := h1.ReadAnswer(in, maxAnswerHead)
+		if err != nil {
+			return nil, err
 		}
-		if strays++; !known || strays > mostStrays {
-			return nil, strays, errStray
+		owner := g.rules.OwnerOf(h.Get("Attempt-Id"), h.Count("Attempt-Id"), req.Get("Attempt-Id"))
+		if owner == attempt.Own {
+			return h, nil
 		}
+		*strays++
 		framing, err := h.AnswerBody("GET")
-		if err != nil || framing == h1.TillEnds || framing > strayBody {
-			return nil, strays, errStray
+		bounded := err == nil && framing != h1.TillEnds && framing <= strayBody
+		if !attempt.ReadPast(owner, *strays, bounded) {
+			return nil, errStray
 		}
 		body := h1.NewBody(in, framing)
 		if _, err := io.Copy(io.Discard, io.LimitReader(body, strayBody)); err != nil || !body.Done() {
-			return nil, strays, errStray
+			return nil, errStray
 		}
 	}
 }
@@ -239,30 +265,6 @@
 	g.meter.Count("elmspan_stray_answers_total", n)
 }
 
-// judge tells what an answer that was read says.
-func judge(a *answer, good bool) (outcome, bool) {
-	switch {
-	case good:
-		return outcome{result: balance.Good, ran: true, answer: a}, false
-	case a.status == 421:
-		return outcome{result: balance.Moved}, false
-	case a.from.Get("Not-Executed") != "":
-		if a.status == 400 { // no other server would take it
-			return outcome{result: balance.Good, answer: a}, false
-		}
-		return outcome{result: balance.Full}, false
-	case a.status == 429, a.status == 503, a.status == 408:
-		// These would promise that it has not run, which the server did not say.
-		a = barePledge.answer(0)
-		return outcome{result: balance.Failed, ran: true, answer: a}, false
-	case a.status < 500:
-		return outcome{result: balance.Good, ran: true, answer: a}, false
-	case a.status == 504: // its time was up, which says nothing of the server
-		return outcome{result: balance.Given, ran: true, answer: a}, false
-	}
-	return outcome{result: balance.Erred, ran: true, answer: a}, false
-}
-
 // writeHead writes the head for a server, with a body that is held.
 func (r *request) writeHead(b *bytes.Buffer, member string) {
 	b.WriteString(r.head.Method)
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -123,7 +123,7 @@
 		c.mu.Unlock()
 		mine, done := turn, make(chan struct{})
 		turn = done
-		r, a := c.prepare(head, arrived)
+		r, a := c.prepare(head, arrived, mine)
 		if a == nil && r.stream == nil && r.route.Repeatable() && !head.Closes() {
 			places <- struct{}{}
 			answers.Go(func() {
@@ -133,6 +133,9 @@
 			})
 			continue
 		}
+		if a == nil && !r.route.Repeatable() && !c.comesTo(mine) {
+			return
+		}
 		closes := c.respond(r, a, mine, seq)
 		close(done)
 		if closes {
@@ -141,6 +144,16 @@
 	}
 }
 
+// comesTo waits until the turn of a request that must not run twice has come, and
+// tells whether it has: where the connection ends with an answer before, what stands
+// behind that counts as not read, and the client sends it again (RFC 9112, 9.3.2).
+func (c *clientConn) comesTo(turn <-chan struct{}) bool {
+	<-turn
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.closing
+}
+
 // readHead waits for a request and reads its head.
 func (c *clientConn) readHead(first bool) (*h1.Head, error) {
 	headFor, idleFor, most := defaultHeadFor, defaultIdleFor, defaultHeader
@@ -174,8 +187,8 @@
 }
 
 // prepare checks a request, finds its route and tenant and reads its body. An
-// answer that is returned is final.
-func (c *clientConn) prepare(head *h1.Head, arrived time.Time) (*request, *answer) {
+// answer that is returned is final. What it says before the answer waits for its turn.
+func (c *clientConn) prepare(head *h1.Head, arrived time.Time, turn <-chan struct{}) (*request, *answer) {
 	r := &request{head: head, arrived: arrived}
 	refuse := func(status int, why string) (*request, *answer) {
 		return r, malformed(status, why)
@@ -230,6 +243,7 @@
 		return refuse(413, "the body is too long")
 	}
 	if head.Has("Expect", "100-continue") && c.in.Buffered() == 0 {
+		<-turn // never in the middle of an answer before
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
 	c.nc.SetReadDeadline(r.deadline)
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -16,6 +16,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"example.org/elmspan/api"
+	"example.org/elmspan/dataplane/attempt"
 	"example.org/elmspan/dataplane/limiter"
 	"example.org/elmspan/dataplane/link"
 	"example.org/elmspan/dataplane/quota"
@@ -61,6 +62,7 @@
 	life     uint64
 	self     uint64 // hash of the name
 	pool     *connpool.Pool[string]
+	rules    attempt.Rules
 	lease    time.Duration // how long a grant holds; 0: none is needed
 	open     time.Duration // how long connections are taken after SIGTERM
 
@@ -91,7 +93,8 @@
 func New(cfg *settings.Node, o Options) (*Gateway, error) {
 	seed, log := o.Seed, o.Log
 	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, stranger: o.Stranger, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
-		rng: rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
+		rules: attempt.Standard(),
+		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
 		conns: map[*clientConn]struct{}{}, waiting: map[*limiter.Flight]chan struct{}{}, open: listenersClose}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -31,7 +31,7 @@
 
 // newBackend returns a server that hands each request to a function, which
 // writes the answer; false closes the connection.
-func newBackend(t *testing.T, answer func(w io.Writer, h *h1.Head, body []byte) bool) *backend {
+func newBackend(t testing.TB, answer func(w io.Writer, h *h1.Head, body []byte) bool) *backend {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
@@ -80,12 +80,12 @@
 }
 
 // newGateway starts a gateway in front of servers, in the order of their names.
-func newGateway(t *testing.T, backends ...*backend) *Gateway {
+func newGateway(t testing.TB, backends ...*backend) *Gateway {
 	t.Helper()
 	return newGatewayOf(t, settings.Timing{StrictRevocation: true, RevokeMs: 5000, GraceS: 3}, backends...)
 }
 
-func newGatewayOf(t *testing.T, timing settings.Timing, backends ...*backend) *Gateway {
+func newGatewayOf(t testing.TB, timing settings.Timing, backends ...*backend) *Gateway {
 	t.Helper()
 	cfg := &settings.Node{Name: "n", IP: "127.0.0.1", Zone: "z", Internal: []int{0, 9}, Served: []string{"edge", "control"},
 		Listeners: settings.Listeners{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
@@ -118,12 +118,12 @@
 
 // client is one connection to the gateway.
 type client struct {
-	t *testing.T
+	t testing.TB
 	net.Conn
 	in *bufio.Reader
 }
 
-func dial(t *testing.T, g *Gateway) *client {
+func dial(t testing.TB, g *Gateway) *client {
 	t.Helper()
 	c, err := net.Dial("tcp", g.front.Addr().String())
 	if err != nil {
--- a/dataplane/limiter/flight.go
+++ b/dataplane/limiter/flight.go
@@ -1,6 +1,9 @@
 package limiter
 
-import "example.org/elmspan/dataplane/balance"
+import (
+	"example.org/elmspan/dataplane/attempt"
+	"example.org/elmspan/dataplane/balance"
+)
 
 // Request is what the course of a request depends on. Times are in
 // milliseconds on the host's clock.
@@ -22,17 +25,15 @@
 	l       *Limiter
 	r       Request
 	choice  balance.Request
-	out     int // tries that have not ended
-	sent    int
-	ran     bool
-	came    bool    // it has reached a server: another one is charged to the budget
+	course  attempt.Course
 	askedAt float64 // for a long answer; see [Flight.Berth]
 }
 
 // NewFlight begins the course of a request that was admitted.
 func (l *Limiter) NewFlight(r Request) *Flight {
 	r.Tries = max(1, r.Tries)
-	return &Flight{l: l, r: r, choice: balance.Request{Service: r.Service, Bulk: r.Bulk, Once: !r.Repeatable}}
+	return &Flight{l: l, r: r, choice: balance.Request{Service: r.Service, Bulk: r.Bulk, Once: !r.Repeatable},
+		course: attempt.Course{Repeatable: r.Repeatable}}
 }
 
 // Parallel tells whether two servers may have the request at the same time. Two
@@ -45,7 +46,7 @@
 // request was never sent, waitMs tells when to come back: it is refused.
 func (f *Flight) Launch(now float64, hedge bool) (m *balance.Member, waitMs float64, refused bool) {
 	left := f.r.DeadlineMs - now
-	if left <= 0 || f.sent >= f.r.Tries {
+	if left <= 0 || f.course.Sent() >= f.r.Tries {
 		return nil, 0, false
 	}
 	// A queue that is longer than the aim allows serves nobody better: what is beyond
@@ -56,58 +57,36 @@
 		left /= 2
 	}
 	f.choice.LeftMs, f.choice.Idle = left, hedge
-	further := f.came || hedge // what reaches a server once more comes out of what was saved up
+	further := f.course.Came() || hedge // what reaches a server once more comes out of what was saved up
 	m, waitMs = f.l.choose(now, f.choice, further)
 	if m == nil {
 		return nil, waitMs, !further
 	}
 	f.ask(now)
 	f.choice.Tried = append(f.choice.Tried, m)
-	f.out++
-	f.sent++
+	f.course.Begin()
 	return m, 0, false
 }
 
 // Next is what follows on the end of a try.
-type Next int
+type Next = attempt.Next
 
 // What follows.
 const (
-	Deliver  Next = iota // its answer is the final one
-	Await                // another try is out
-	Relaunch             // a further try may be made
-	Stop                 // none may: see Status
+	Deliver  = attempt.Deliver
+	Await    = attempt.Await
+	Relaunch = attempt.Relaunch
+	Stop     = attempt.Stop
 )
 
-// Ended notes how a try ended. ran: the server may have run it. answered: it
-// brought an answer that a client can be given; started: a part of a body that
-// is not held is gone.
+// Ended notes how a try ended; see [attempt.Course.Ended].
 func (f *Flight) Ended(result balance.Result, ran, answered, started bool) Next {
-	f.out--
-	f.ran = f.ran || ran
-	f.came = f.came || result != balance.Unsent
-	switch {
-	case answered && (result == balance.Good || !f.r.Repeatable):
-		return Deliver
-	case f.out > 0:
-		return Await // the other one may still answer; a failure of a server's is kept till then
-	case f.ran && !f.r.Repeatable, started:
-		return Stop
-	}
-	return Relaunch
+	return f.course.Ended(result, ran, answered, started)
 }
 
-// Status is the status of the final answer where no server gave one: 503
-// promises that it has not run.
-func (f *Flight) Status(now float64, started bool) int {
-	switch {
-	case !f.ran && !started:
-		return 503
-	case now >= f.r.DeadlineMs:
-		return 504
-	}
-	return 502
-}
+// Status is the status of the final answer where no server gave one; see
+// [attempt.Course.Final].
+func (f *Flight) Status(now float64) int { return f.course.Final(now >= f.r.DeadlineMs) }
 
 // HedgeMs is after what time a second server is tried beside the first; false
 // where that is of no use.
--- a/dataplane/meter.go
+++ b/dataplane/meter.go
@@ -30,7 +30,7 @@
 	balance.Erred: "erred"}
 
 // measureTry counts a try at a server.
-func (g *Gateway) measureTry(service string, at *attempt) {
+func (g *Gateway) measureTry(service string, at *serverTry) {
 	if g.meter == nil {
 		return
 	}
--- a/simulation/policy.go
+++ b/simulation/policy.go
@@ -119,7 +119,7 @@
 	c.l.Done(now, c.out[server], balance.Beaten, tookMs)
 }
 
-func (c *ownCourse) status(now float64) int   { return c.Status(now, false) }
+func (c *ownCourse) status(now float64) int   { return c.Status(now) }
 func (c *ownCourse) hedgeMs() (float64, bool) { return c.HedgeMs() }
 
 func (c *ownCourse) lateMs(now float64, server string) (float64, bool) {
