--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -243,6 +243,11 @@
 			return a
 		}
 	}
+	if len(f.out) > 0 && f.last != nil && f.last.rest != nil {
+		// Its rest would hold a server up meanwhile, and not come after its time.
+		f.last.release()
+		f.last = barePledge.answer(0)
+	}
 	return nil
 }
 
