--- a/scenario/model.go
+++ b/scenario/model.go
@@ -1,6 +1,7 @@
 package scenario
 
 import (
+	"fmt"
 	"math"
 	"math/rand/v2"
 	"time"
@@ -72,3 +73,56 @@
 	}
 	return ms
 }
+
+// mostCopies bounds what stands for many in a day's file.
+const mostCopies = 20_000
+
+// copies puts what stands for many in a day's file in the place of it: services with
+// their servers and classes' requests divided among them, and tenants with their share.
+func (s *Day) copies() error {
+	var services []Service
+	var tenants []Tenant
+	into := map[string][]string{} // names of the copies
+	for i, v := range s.Services {
+		if v.Copies < 0 || v.Copies > min(mostCopies, max(1, v.Servers)) {
+			return fmt.Errorf("services.%d.copies: %d: from 0 to the number of servers", i, v.Copies)
+		}
+		if v.Copies == 0 {
+			services = append(services, v)
+			continue
+		}
+		for k := range v.Copies {
+			c := v
+			c.Name, c.Copies = fmt.Sprintf("%s-%d", v.Name, k+1), 0
+			c.Servers = v.Servers*(k+1)/v.Copies - v.Servers*k/v.Copies
+			services, into[v.Name] = append(services, c), append(into[v.Name], c.Name)
+		}
+	}
+	var classes []Class
+	for _, c := range s.Classes {
+		if into[c.Service] == nil {
+			classes = append(classes, c)
+		}
+		for k, name := range into[c.Service] {
+			o := c
+			o.Name, o.Service, o.PerS = fmt.Sprintf("%s-%d", c.Name, k+1), name, c.PerS/float64(len(into[c.Service]))
+			classes = append(classes, o)
+		}
+	}
+	for i, t := range s.Tenants {
+		if t.Copies < 0 || t.Copies > mostCopies {
+			return fmt.Errorf("tenants.%d.copies: %d: from 0 to %d", i, t.Copies, mostCopies)
+		}
+		if t.Copies == 0 {
+			tenants = append(tenants, t)
+			continue
+		}
+		for k := range t.Copies {
+			c := t
+			c.Name, c.Share, c.Copies = fmt.Sprintf("%s-%d", t.Name, k+1), t.Share/float64(t.Copies), 0
+			tenants = append(tenants, c)
+		}
+	}
+	s.Services, s.Classes, s.Tenants = services, classes, tenants
+	return nil
+}
--- a/scenario/scenario.go
+++ b/scenario/scenario.go
@@ -55,6 +55,7 @@
 	Queue   int     `toml:"queue"`
 	Hangs   bool    `toml:"hangs"` // when full: no answer, rather than Not-Executed
 	ColdS   float64 `toml:"cold_s"`
+	Copies  int     `toml:"copies"` // so many like it, NAME-1 and on, with a class of each kind that asks for it; 0: itself
 }
 
 // Class is a kind of requests.
@@ -75,6 +76,8 @@
 	Name  string  `toml:"name"`
 	Share float64 `toml:"share"`
 	Quota float64 `toml:"quota_x"` // 0: no limit
+	// So many like it, NAME-1 and on, that divide its share; 0: itself.
+	Copies int `toml:"copies"`
 }
 
 // Trouble strikes at a time, in seconds from the start of traffic. Kinds: kill,
@@ -128,6 +131,9 @@
 	for _, k := range meta.Undecoded() {
 		return nil, fmt.Errorf("scenario %s: %s: no such field", path, k)
 	}
+	if err := s.copies(); err != nil {
+		return nil, fmt.Errorf("scenario %s: %w", path, err)
+	}
 	if err := s.Check(); err != nil {
 		return nil, fmt.Errorf("scenario %s: %w", path, err)
 	}
--- a/simulation/fleet.go
+++ b/simulation/fleet.go
@@ -40,6 +40,7 @@
 	Policy   string
 	Limiters int
 	// Means over the limiters and the time of traffic.
+	PerS                                     Traffic
 	WordsPerS, BytesPerS, BeatsPerS, Targets float64
 	Events                                   uint64
 }
@@ -87,7 +88,7 @@
 	}
 	f.engine.until(0)
 	for _, n := range f.nodes {
-		n.sent, n.bytes, n.beats = 0, 0, 0
+		n.traffic = Traffic{}
 	}
 	f.begin()
 	end := day.LengthS * 1000
@@ -103,11 +104,10 @@
 	r := &Result{Policy: f.policy, Limiters: len(f.nodes)}
 	for _, n := range f.nodes {
 		k := float64(len(f.nodes)) * day.LengthS
-		r.WordsPerS += float64(n.sent) / k
-		r.BytesPerS += float64(n.bytes) / k
-		r.BeatsPerS += float64(n.beats) / k
+		r.PerS.add(&n.traffic, 1/k)
 		r.Targets += float64(n.policy.Targets()) / float64(len(f.nodes))
 	}
+	r.WordsPerS, r.BytesPerS, r.BeatsPerS = r.PerS.Words, r.PerS.WordBytes(), r.PerS.Beats
 	for i := 0; f.open > 0 && i < 200; i++ { // what was asked ends by its deadline
 		f.engine.until(f.engine.now + 100)
 	}
@@ -117,6 +117,7 @@
 	r.Report, r.Events = f.tally.Report(f.ledger), f.engine.done
 	r.Notes = append(r.Notes, fmt.Sprintf("%d limiters, each sends words to %.0f others: %.0f words, %.0f bytes, %.1f heartbeats a second",
 		r.Limiters, r.Targets, r.WordsPerS, r.BytesPerS, r.BeatsPerS))
+	r.Notes = append(r.Notes, r.PerS.String())
 	for _, s := range f.skipped {
 		r.Notes = append(r.Notes, "not simulated: "+s)
 	}
--- a/simulation/node.go
+++ b/simulation/node.go
@@ -24,7 +24,6 @@
 	leastAdvice  = 30.0
 	mostAdvice   = 100.0
 	connectLost  = 300.0 // ms until a connect to a machine that is gone is given up
-	wordOverhead = 28    // bytes of IP and UDP for each datagram
 )
 
 // node is one limiter of the fleet, on the simulated clock.
@@ -46,7 +45,7 @@
 	seen   int     // version of the list of servers
 	met    float64 // a stranger was called on
 
-	sent, bytes, beats int // counted from the start of traffic
+	traffic Traffic // from the start of traffic
 }
 
 // start begins a life of the limiter.
@@ -105,9 +104,8 @@
 // tell sends a word.
 func (n *node) tell(to uint64, w *words.Word) {
 	f := n.f
-	n.sent++
 	b := w.Append(nil)
-	n.bytes += len(b) + wordOverhead
+	n.traffic.word(w, len(b))
 	o := f.byID[to]
 	if o == nil || f.rng.Float64() < f.day.Network.WordsLoss || f.cutOff(n, o) {
 		return
@@ -168,7 +166,7 @@
 // exchange sends a heartbeat, and a second round where the views differ.
 func (n *node) exchange(o *node, b *api.Beat) {
 	f, life := n.f, n.life
-	n.beats++
+	n.traffic.beat(b)
 	if f.cutOff(n, o) {
 		return
 	}
@@ -178,6 +176,7 @@
 		}
 		o.whenAwake(func() {
 			r := o.view.Answer(o.at(), b)
+			o.traffic.answer(r)
 			o.news()
 			f.engine.after(f.delay(n.zone, o.zone), func() {
 				if !n.up || n.life != life || f.cutOff(n, o) {
