The pool knows the latest server at an address alone: 3 MB less at 9,700 servers

Cause: a table for each address took 300 bytes a server (hollow limiters: 8.8 MB against 5.9 for the list). Change: whoever stood there before the latest is gone already, so that one is enough.

--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -36,8 +36,8 @@
 
 	mu    sync.Mutex
 	hosts map[K]*Host[K]
-	at    map[string]map[K]*Host[K] // the same by address: a list of n servers costs n, not n x n
-	open  int                       // connections open or coming up
+	at    map[string]*Host[K] // by address, the latest that came to it: a list of n servers costs n, not n x n
+	open  int                 // connections open or coming up
 	ages  ages
 	careful
 }
@@ -88,7 +88,7 @@
 }
 
 func New[K comparable](budget int, connTimeout, idleFor time.Duration) *Pool[K] {
-	return &Pool[K]{Budget: budget, connTimeout: connTimeout, IdleFor: idleFor, hosts: map[K]*Host[K]{}, at: map[string]map[K]*Host[K]{},
+	return &Pool[K]{Budget: budget, connTimeout: connTimeout, IdleFor: idleFor, hosts: map[K]*Host[K]{}, at: map[string]*Host[K]{},
 		ages: ages{at: time.Now(), limit: ageForever}}
 }
 
@@ -103,19 +103,14 @@
 		p.drop(h)
 		// One that still stands at this address is gone: guards against sending to the
 		// new server under the old one's name, on its connections or pending connects.
-		for _, o := range p.at[dial] {
-			if o.ID != id {
-				o.taken = true
-				p.drop(o)
-			}
+		// Whoever stood there before that one is gone already.
+		if o := p.at[dial]; o != nil && o.ID != id {
+			o.taken = true
+			p.drop(o)
 		}
 		p.forget(h)
 		h = &Host[K]{ID: id, Dial: dial, bornMs: bornMs, up: up}
-		p.hosts[id] = h
-		if p.at[dial] == nil {
-			p.at[dial] = map[K]*Host[K]{}
-		}
-		p.at[dial][id] = h
+		p.hosts[id], p.at[dial] = h, h
 		return true
 	}
 	up = up && !h.taken
@@ -142,7 +137,7 @@
 		return
 	}
 	delete(p.hosts, h.ID)
-	if delete(p.at[h.Dial], h.ID); len(p.at[h.Dial]) == 0 {
+	if p.at[h.Dial] == h {
 		delete(p.at, h.Dial)
 	}
 }
--- a/internal/connpool/hosts_test.go
+++ b/internal/connpool/hosts_test.go
@@ -24,6 +24,10 @@
 	if p.Update("b", "y:1", 0, true); p.hosts["b"].up {
 		t.Error("one whose address another has is up again")
 	}
+	p.Update("e", "y:1", 0, true)
+	if p.Remove("e"); !p.hosts["d"].taken || !p.hosts["b"].taken || p.hosts["d"].up {
+		t.Error("one whose address another had gets requests when that one went")
+	}
 	p.KeepOnly(map[string]bool{"a": true, "c": true})
 	p.Remove("a")
 	p.Remove("c")
