What one gateway process adds to a request, measured on loopback

Cause: the plan's bound is 1.5 ms for 99 in 100; nothing measured it. Change: coreload.Added and elmspan-lab added: a real core of three, a gateway, servers that answer at once, half of the requests straight to them.

--- a/cmd/elmspan-lab/main.go
+++ b/cmd/elmspan-lab/main.go
@@ -33,6 +33,7 @@
 	Plan     planCmd     `cmd:"" help:"Find how many servers a day needs. Example: elmspan-lab plan docs/fleet.toml --in-aim 0.98"`
 	Load     loadCmd     `cmd:"" help:"Send a day's requests to a running system. Example: elmspan-lab load docs/fleet.toml --front 127.10.0.1:8080 --key large=secret"`
 	Core     coreCmd     `cmd:"" help:"Measure the core with many limiters: three real processes on loopback. Example: elmspan-lab core --limiters 1000 --servers 3000"`
+	Added    addedCmd    `cmd:"" help:"Measure what one gateway process adds to a request on loopback. Example: elmspan-lab added --seconds 20"`
 	Hollow   hollowCmd   `cmd:"" help:"Measure what a limiter holds and spends for control: hundreds of hollow ones in one process. Example: elmspan-lab hollow --hollow 200"`
 	Replay   replayCmd   `cmd:"" help:"Send recorded requests to a running system, as they were spaced. The record: CSV with at_s,class,tenant."`
 }
--- a/coreload/platform.go
+++ b/coreload/platform.go
@@ -45,6 +45,13 @@
 	return p, nil
 }
 
+// add puts servers on the list.
+func (p *platform) add(servers []api.Server) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.servers = append(p.servers, servers...)
+}
+
 func (p *platform) close() { p.srv.Close() }
 
 // fresh is a server that was not there before.
