A voter is swapped for another by one joint change

Cause: a lost voter was replaced by two changes, one more and then one less, 200 ms apart: four voters that need three, one of them dead, bear no loss in between. A leader that took its own vote stepped down at the next agreed entry, whichever it was; and a member whose vote a change takes didn't stand for election although it may be the only one left that holds that change, so that nobody could be elected.

Change: Raft's joint consensus in Change, quorum and count: majorities of both sets elect, agree, confirm and keep the leader; the leader adds the final entry once the joint one is agreed. Only where all voters of both sets said that they understand it (Message.Joint).

--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -51,20 +51,23 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out)
+		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.joint))
 	}
 	return b
 }
 
 // AppendKey adds a message, so that equal ones have equal bytes.
 func (m *Message) AppendKey(b []byte) []byte {
-	flags := uint64(m.Kind) << 2
+	flags := uint64(m.Kind) << 3
 	if m.Reject {
 		flags |= 1
 	}
 	if m.Force {
 		flags |= 2
 	}
+	if m.Joint {
+		flags |= 4
+	}
 	for _, v := range []uint64{flags, uint64(m.From), uint64(m.To), m.Term, m.Index, m.LogTerm, m.Commit, m.Round, uint64(len(m.Entries))} {
 		b = binary.AppendUvarint(b, v)
 	}
@@ -86,10 +89,13 @@
 func appendMembers(b []byte, ms []Member) []byte {
 	b = binary.AppendUvarint(b, uint64(len(ms)))
 	for _, m := range ms {
-		v := uint64(m.ID) << 1
+		v := uint64(m.ID) << 2
 		if m.Voter {
 			v |= 1
 		}
+		if m.Old {
+			v |= 2
+		}
 		b = binary.AppendUvarint(b, v)
 	}
 	return b
--- a/agreement/model/model_test.go
+++ b/agreement/model/model_test.go
@@ -14,6 +14,7 @@
 	"elections":            {Members: 3, Elections: 2, InFlight: 1},
 	"crashes":              {Members: 3, Elections: 2, Candidates: 2, Crashes: 1, InFlight: 1},
 	"changes":              {Members: 2, Elections: 2, Candidates: 2, Changes: 1, InFlight: 1},
+	"swaps":                {Members: 2, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
 	"values and elections": {Members: 3, Elections: 2, Candidates: 2, Values: 1, InFlight: 1},
 	"late":                 {Members: 2, Elections: 1, Values: 1, Beats: 1, Doubled: 1, InFlight: 2},
 	"snapshots":            {Members: 2, Elections: 2, Values: 1, Snapshots: 1, Crashes: 1, InFlight: 1},
@@ -25,6 +26,7 @@
 	"three elections": {Members: 3, Elections: 3, Candidates: 2, InFlight: 1},
 	"leaps":           {Members: 3, Elections: 2, Candidates: 2, Changes: 1, Beats: 1, InFlight: 1},
 	"old terms":       {Members: 3, Elections: 4, Candidates: 2, Beats: 1, Entries: 1, InFlight: 1},
+	"swaps of three":  {Members: 3, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
 	"rounds":          {Members: 3, Elections: 2, Candidates: 2, Beats: 2, InFlight: 2},
 }
 
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -30,7 +31,8 @@
 var (
 	ErrNotLeader = errors.New("agreement: not the leader")
 	ErrPending   = errors.New("agreement: a change of members is not through yet")
-	ErrStep      = errors.New("agreement: a change may add or remove one voter at most")
+	ErrStep      = errors.New("agreement: a change may add one voter and take the vote of one at most")
+	ErrJoint     = errors.New("agreement: not all voters are known to understand joint changes")
 )
 
 // Node is one member. It is not safe for concurrent use.
@@ -43,6 +45,8 @@
 	snap    Snapshot
 	entries []Entry // behind the snapshot
 	members []Member
+	since   uint64   // index of the entry or snapshot that named them
+	before  []Member // as they were before that entry
 
 	role      Role
 	leader    ID
@@ -73,6 +77,7 @@
 	out         uint64 // ... up to this index
 	waited      int    // ... for so many ticks
 	quiet       int    // ticks since it was heard of
+	joint       bool   // understands joint changes
 }
 
 // New returns a member with what its disk holds.
@@ -183,11 +188,16 @@
 // findMembers takes the members of the last entry that names them: a change
 // holds from where it stands in the log, agreed or not.
 func (n *Node) findMembers() {
-	n.members = n.snap.Members
+	n.members, n.since, n.before = n.snap.Members, n.snap.Index, nil
+	named := false
 	for i := len(n.entries) - 1; i >= 0; i-- {
-		if n.entries[i].Members != nil {
-			n.members = n.entries[i].Members
+		switch e := &n.entries[i]; {
+		case e.Members == nil:
+		case named:
+			n.before = e.Members
 			return
+		default:
+			n.members, n.since, n.before, named = e.Members, e.Index, n.snap.Members, true
 		}
 	}
 }
@@ -222,7 +232,7 @@
 func (n *Node) Tick() {
 	n.elapsed++
 	if n.role != Leader {
-		if n.elapsed >= n.timeout && n.votes1() {
+		if n.elapsed >= n.timeout && n.Needed() {
 			n.campaign(true)
 		}
 		return
@@ -264,10 +274,22 @@
 	n.appendAll(true)
 }
 
-// votes1 tells whether this member is a voter.
+// votes1 tells whether this member is a voter, of either set of a joint change.
 func (n *Node) votes1() bool {
 	m := find(n.members, n.cfg.ID)
-	return m != nil && m.Voter
+	return m != nil && m.votes()
+}
+
+// Needed tells that a majority may still need this member: it is a voter, or the
+// change that takes its vote isn't known to be agreed. Until then it stands for
+// election too: it may be the only one left that holds that change, and then it
+// can't vote for those who don't.
+func (n *Node) Needed() bool {
+	if n.votes1() {
+		return true
+	}
+	m := find(n.before, n.cfg.ID)
+	return n.since > n.commit && m != nil && m.votes()
 }
 
 // ---- Elections ----
@@ -293,31 +315,35 @@
 		n.hard, n.hardDirty = HardState{Term: term, Vote: n.cfg.ID}, true
 	}
 	for _, m := range n.members {
-		if m.Voter && m.ID != n.cfg.ID {
+		if m.votes() && m.ID != n.cfg.ID {
 			n.send(Message{Kind: kind, To: m.ID, Term: term, Index: n.last(), LogTerm: n.term(n.last()), Force: n.force})
 		}
 	}
 	n.count()
 }
 
-// count ends an election once a majority has answered alike.
+// count ends an election once a majority of each set of voters has said yes, or so
+// many of one have said no that it can't.
 func (n *Node) count() {
-	yes, no, all := 0, 0, voters(n.members)
-	for _, m := range n.members {
-		if v, ok := n.votes[m.ID]; ok && m.Voter {
-			if v {
+	won, lost := true, false
+	for _, set := range sets(n.members) {
+		yes, no, all := 0, 0, len(set)
+		for _, id := range set {
+			if v, ok := n.votes[id]; ok && v {
 				yes++
-			} else {
+			} else if ok {
 				no++
 			}
 		}
+		won = won && 2*yes > all
+		lost = lost || 2*no >= all && no > 0
 	}
 	switch {
-	case 2*yes > all && n.prevote:
+	case won && n.prevote:
 		n.campaign(false)
-	case 2*yes > all:
+	case won:
 		n.lead()
-	case 2*no >= all && all > 0 && no > 0:
+	case lost:
 		n.follow(0)
 	}
 }
@@ -345,23 +371,33 @@
 	}
 }
 
-// quorum is the highest figure that a majority of the voters reaches.
+// quorum is the highest figure that a majority of the voters reaches; while a joint
+// change is under way, majorities of both sets.
 func (n *Node) quorum(of func(*progress) uint64, own uint64) uint64 {
-	var vs []uint64
-	for _, m := range n.members {
-		switch {
-		case !m.Voter:
-		case m.ID == n.cfg.ID:
-			vs = append(vs, own)
-		case n.peers[m.ID] == nil:
-			vs = append(vs, 0)
-		default:
-			vs = append(vs, of(n.peers[m.ID]))
+	return n.quorumOf(n.members, of, own)
+}
+
+func (n *Node) quorumOf(members []Member, of func(*progress) uint64, own uint64) uint64 {
+	least := uint64(math.MaxUint64)
+	for _, set := range sets(members) {
+		if len(set) == 0 {
+			return 0
 		}
+		vs := make([]uint64, len(set))
+		for i, id := range set {
+			if id == n.cfg.ID {
+				vs[i] = own
+			} else if p := n.peers[id]; p != nil {
+				vs[i] = of(p)
+			}
+		}
+		least = min(least, majority(vs))
 	}
-	if len(vs) == 0 {
-		return 0
-	}
+	return least
+}
+
+// majority is the highest figure that more than half of them reach.
+func majority(vs []uint64) uint64 {
 	slices.Sort(vs)
 	return vs[(len(vs)-1)/2]
 }
@@ -401,34 +437,100 @@
 	return n.last() + 1, n.hard.Term, n.add(Entry{Data: data})
 }
 
-// Change proposes new members, of which one voter at most is added or removed.
+// Change proposes new members: at most one more voter, and one less. Both at once, a
+// swap, is a joint change: its entry names both sets of voters, and while it is the
+// last that names members, majorities of both elect, agree and confirm; once it is
+// agreed, the leader adds the entry with the new set alone. The one that loses its
+// vote in a swap has to stay in the list; a change of its own may drop it later.
+//
+// Errors: [ErrNotLeader]; [ErrPending] while a change is under way or nothing of this
+// term is agreed; [ErrStep] for more than that; [ErrJoint] for a swap before all voters
+// of both sets were heard to understand one: add and remove one by one then.
 func (n *Node) Change(members []Member) error {
 	if n.role != Leader {
 		return ErrNotLeader
 	}
-	if !n.Serves() { // the leader's own term must be agreed on before
+	if !n.Serves() || n.Changing() { // the leader's own term must be agreed on before
 		return ErrPending
 	}
-	for _, e := range n.entries {
-		if e.Index > n.commit && e.Members != nil {
-			return ErrPending
+	next, added, taken, dropped := slices.Clone(members), 0, 0, 0
+	for i := range next {
+		m := &next[i]
+		o := find(n.members, m.ID)
+		m.Old = o != nil && o.Voter
+		if m.Voter && !m.Old {
+			added++
+		}
+	}
+	for _, o := range n.members {
+		switch m := find(next, o.ID); {
+		case o.Voter && m == nil:
+			taken, dropped = taken+1, dropped+1
+		case o.Voter && !m.Voter:
+			taken++
+		}
+	}
+	if added > 1 || taken > 1 || added+dropped > 1 || len(voters(next)) == 0 {
+		return ErrStep
+	}
+	if joint := added+taken > 1; !joint {
+		next = settled(next)
+	} else if !n.understood(next) {
+		return ErrJoint
+	}
+	return n.add(Entry{Members: next})
+}
+
+// settled are members without a set on its way out.
+func settled(members []Member) []Member {
+	out := slices.Clone(members)
+	for i := range out {
+		out[i].Old = false
+	}
+	return out
+}
+
+// Changing tells that a change of members is under way: its last entry isn't agreed.
+func (n *Node) Changing() bool { return n.since > n.commit || len(outgoing(n.members)) > 0 }
+
+// understood tells a leader that all voters of both sets understand joint changes.
+// One that doesn't would elect and agree by one set alone.
+func (n *Node) understood(members []Member) bool {
+	for _, m := range members {
+		if p := n.peers[m.ID]; m.votes() && m.ID != n.cfg.ID && (p == nil || !p.joint) {
+			return false
 		}
 	}
-	steps := 0
+	return true
+}
+
+// Bears tells a leader that a change to these members asks nobody for a majority that
+// it can't give: a majority of the voters as they are, and of those to be, were heard of
+// within an election time, and each voter to be that is none yet has all that is agreed.
+func (n *Node) Bears(members []Member) bool {
+	if n.role != Leader {
+		return false
+	}
 	for _, m := range members {
-		if o := find(n.members, m.ID); m.Voter && (o == nil || !o.Voter) {
-			steps++
+		if o := find(n.members, m.ID); m.Voter && m.ID != n.cfg.ID && (o == nil || !o.Voter) && !n.CaughtUp(m.ID) {
+			return false
 		}
 	}
-	for _, o := range n.members {
-		if m := find(members, o.ID); o.Voter && (m == nil || !m.Voter) {
-			steps++
+	heard := func(p *progress) uint64 {
+		if p.quiet < n.cfg.ElectionTicks {
+			return 1
 		}
+		return 0
 	}
-	if steps > 1 || voters(members) == 0 {
-		return ErrStep
+	return n.quorum(heard, 1) == 1 && n.quorumOf(members, heard, 1) == 1
+}
+
+// leaveJoint adds the entry with the new set alone once the joint one is agreed, by a
+// leader of whose term something is.
+func (n *Node) leaveJoint() {
+	if n.role == Leader && len(outgoing(n.members)) > 0 && n.since <= n.commit && n.Serves() {
+		n.add(Entry{Members: settled(n.members)})
 	}
-	return n.add(Entry{Members: members})
 }
 
 func (n *Node) add(e Entry) error {
@@ -489,9 +591,10 @@
 	}
 	if at := n.quorum(func(p *progress) uint64 { return p.match }, n.stored); at > n.commit && n.term(at) == n.hard.Term {
 		n.commit = at
-		if !n.votes1() { // removed by its own change
+		if !n.Needed() { // its vote went by its own change, which is agreed
 			n.Transfer()
 			n.follow(0)
 		}
 	}
+	n.leaveJoint()
 }
--- a/agreement/step.go
+++ b/agreement/step.go
@@ -66,7 +66,7 @@
 	case AppendReply:
 		n.appended(m)
 	case Campaign:
-		if n.votes1() {
+		if n.Needed() {
 			n.force = true
 			n.campaign(false)
 			n.force = false
@@ -167,7 +167,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.active, p.quiet = true, 0
+	p.active, p.quiet, p.joint = true, 0, m.Joint
 	p.round = max(p.round, min(m.Round, n.round))
 	if m.Reject {
 		if p.paused && p.next <= n.snap.Index {
@@ -197,7 +197,7 @@
 }
 
 func (n *Node) send(m Message) {
-	m.From = n.cfg.ID
+	m.From, m.Joint = n.cfg.ID, m.Kind == AppendReply
 	n.out = append(n.out, m)
 }
 
--- a/agreement/types.go
+++ b/agreement/types.go
@@ -19,8 +19,14 @@
 	ID    ID     `cbor:"1,keyasint"`
 	Addr  string `cbor:"2,keyasint"` // where it is reached, for the transport
 	Voter bool   `cbor:"3,keyasint"` // counts toward majorities; else it only learns
+	// Old is set in a joint change only, by the leader: the member counts toward the
+	// majorities of the set that is on its way out.
+	Old bool `cbor:"4,keyasint,omitempty"`
 }
 
+// votes tells whether the member counts toward any majority.
+func (m *Member) votes() bool { return m.Voter || m.Old }
+
 // Entry is one place of the log.
 type Entry struct {
 	Index   uint64   `cbor:"1,keyasint"`
@@ -77,6 +83,7 @@
 	Round    uint64    `cbor:"8,keyasint,omitempty"` // of heartbeats, echoed in replies
 	Reject   bool      `cbor:"9,keyasint,omitempty"`
 	Force    bool      `cbor:"10,keyasint,omitempty"` // a vote asked for by the leader itself
+	Joint    bool      `cbor:"20,keyasint,omitempty"` // in replies: the sender understands joint changes
 	Entries  []Entry   `cbor:"11,keyasint,omitempty"`
 	Snapshot *Snapshot `cbor:"12,keyasint,omitempty"`
 }
@@ -112,13 +119,32 @@
 // MustSync tells that something has to be on disk before the messages go out.
 func (r *Ready) MustSync() bool { return r.Hard != nil || r.Snapshot != nil || len(r.Entries) > 0 }
 
-func voters(ms []Member) (n int) {
+// voters are the members that count toward a majority of the set on its way in,
+// outgoing those of the set on its way out: none, unless a joint change is under way.
+func voters(ms []Member) (ids []ID) {
 	for _, m := range ms {
 		if m.Voter {
-			n++
+			ids = append(ids, m.ID)
 		}
 	}
-	return n
+	return ids
+}
+
+func outgoing(ms []Member) (ids []ID) {
+	for _, m := range ms {
+		if m.Old {
+			ids = append(ids, m.ID)
+		}
+	}
+	return ids
+}
+
+// sets are the sets of voters of which a majority each is needed.
+func sets(ms []Member) [][]ID {
+	if old := outgoing(ms); len(old) > 0 {
+		return [][]ID{voters(ms), old}
+	}
+	return [][]ID{voters(ms)}
 }
 
 func find(ms []Member, id ID) *Member {
