--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -60,7 +60,7 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.snapshot != nil), truth(p.catchUp))
+		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.joint), truth(p.snapshot != nil), truth(p.catchUp))
 		if x := p.snapshot; x != nil {
 			num(x.snap.Index, x.sum, uint64(x.acked), uint64(x.sent), uint64(x.hold), truth(x.tries > 0))
 		}
@@ -75,13 +75,16 @@
 
 // AppendKey adds a message, so that equal ones have equal bytes.
 func (m *Message) AppendKey(b []byte) []byte {
-	flags := uint64(m.Kind) << 2
+	flags := uint64(m.Kind) << 3
 	if m.Reject {
 		flags |= 1
 	}
 	if m.Force {
 		flags |= 2
 	}
+	if m.Joint {
+		flags |= 4
+	}
 	for _, v := range []uint64{flags, uint64(m.From), uint64(m.To), m.Term, m.Index, m.LogTerm, m.Commit, m.Round, m.Offset, m.Size, m.Sum, m.Tried, uint64(len(m.Entries))} {
 		b = binary.AppendUvarint(b, v)
 	}
@@ -103,10 +106,13 @@
 func appendMembers(b []byte, ms []Member) []byte {
 	b = binary.AppendUvarint(b, uint64(len(ms)))
 	for _, m := range ms {
-		v := uint64(m.ID) << 1
+		v := uint64(m.ID) << 2
 		if m.Voter {
 			v |= 1
 		}
+		if m.Old {
+			v |= 2
+		}
 		b = binary.AppendUvarint(b, v)
 	}
 	return b
--- a/agreement/step.go
+++ b/agreement/step.go
@@ -71,7 +71,7 @@
 	case PieceReply:
 		n.pieceTaken(m)
 	case Campaign:
-		if n.votes1() {
+		if n.Needed() {
 			n.force = true
 			n.campaign(false)
 			n.force = false
@@ -164,6 +164,7 @@
 		return
 	}
 	p.heard(m.Round, n.round)
+	p.joint = m.Joint
 	if m.Reject {
 		if p.next <= n.base || m.Tried != 0 && m.Tried != p.next-1 {
 			return // a snapshot is on its way, or this is an answer to something before
@@ -199,7 +200,7 @@
 }
 
 func (n *Node) send(m Message) {
-	m.From = n.cfg.ID
+	m.From, m.Joint = n.cfg.ID, m.Kind == AppendReply
 	n.out = append(n.out, m)
 }
 
