--- a/agreement/logstore/logstore.go
+++ b/agreement/logstore/logstore.go
@@ -13,6 +13,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"encoding/binary"
 	"errors"
 	"fmt"
@@ -22,6 +23,7 @@
 	"path/filepath"
 	"slices"
 	"strings"
+	"sync"
 	"time"
 
 	"github.com/fxamacker/cbor/v2"
@@ -60,8 +62,10 @@
 	prefixEntry = []byte("e")
 )
 
-// Store is an open store. It is for one goroutine at a time.
+// Store is an open store. Its methods may be called side by side; each waits for
+// the one before, and for the disk.
 type Store struct {
+	mu     sync.Mutex
 	fs     fileSystem
 	dir    string
 	lock   io.Closer
@@ -152,10 +156,12 @@
 
 // Close closes the store; a second time does nothing.
 func (s *Store) Close() (err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if s.lock != nil {
 		s.shut()
 		err = s.lock.Close()
-		s.lock = nil
+		s.lock, s.broken, s.tried = nil, errClosed, time.Now()
 	}
 	return err
 }
@@ -271,7 +277,7 @@
 	s.closeDB()
 	if s.seal != nil {
 		err = s.seal.renew()
-	} else if err = makeSeal(s.fs, s.dir, s.path(sealName), want); err == nil {
+	} else if err = errors.Join(s.nameLasts(), makeSeal(s.fs, s.dir, s.path(sealName), want)); err == nil {
 		s.seal, err = openSeal(s.fs, s.path(sealName))
 	}
 	if err != nil {
@@ -301,6 +307,16 @@
 	return nil
 }
 
+// nameLasts makes the folder's own name last, and that of the one it is in: an
+// earlier process may have made them and ended before it had synced them.
+func (s *Store) nameLasts() error {
+	up := filepath.Dir(s.dir)
+	if err := s.fs.SyncDir(filepath.Dir(up)); err != nil && !errors.Is(err, os.ErrPermission) { // it need not be ours
+		return err
+	}
+	return s.fs.SyncDir(up)
+}
+
 // present tells whether there is a database at all.
 func (s *Store) present() (bool, error) {
 	names, err := s.fs.Names(s.dir)
@@ -420,11 +436,15 @@
 
 // Identity returns the member's id, 0 where the disk has none yet.
 func (s *Store) Identity() (id agreement.ID, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	return id, s.get(keyIdentity, s.image.identity, &id)
 }
 
 // Begin writes the identity and the first state of a member.
 func (s *Store) Begin(id agreement.ID, first agreement.Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.ready(); err != nil {
 		return err
 	}
@@ -444,6 +464,8 @@
 
 // Load reads all that is there. What isn't as it was written is [ErrCorrupt].
 func (s *Store) Load() (st agreement.Stored, err error) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err = s.get(keyHard, s.image.hard, &st.Hard); err != nil {
 		return st, err
 	}
@@ -470,6 +492,8 @@
 // disk was full comes back by itself once it takes writes. ErrCorrupt stays: what
 // was promised is gone from the disk, and nothing is promised any more.
 func (s *Store) Save(r agreement.Ready) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.ready(); err != nil {
 		return err
 	}
@@ -487,6 +511,8 @@
 
 // Compact writes a snapshot and drops the entries that it stands for.
 func (s *Store) Compact(snap agreement.Snapshot) error {
+	s.mu.Lock()
+	defer s.mu.Unlock()
 	if err := s.ready(); err != nil {
 		return err
 	}
@@ -510,7 +536,7 @@
 	if s.broken == nil {
 		return nil
 	}
-	if errors.Is(s.broken, ErrCorrupt) || time.Since(s.tried) < s.pause {
+	if s.lock == nil || errors.Is(s.broken, ErrCorrupt) || time.Since(s.tried) < s.pause {
 		return fmt.Errorf("logstore: %w", s.broken)
 	}
 	s.tried = time.Now()
@@ -551,7 +577,7 @@
 		return nil
 	}
 	if s.db == nil {
-		return fmt.Errorf("logstore: reading %s: %w", key, s.broken)
+		return fmt.Errorf("logstore: reading %s: %w", key, cmp.Or(s.broken, errClosed))
 	}
 	data, err := s.db.Get(key, nil)
 	if err != nil {
--- a/agreement/logstore/logstore_test.go
+++ b/agreement/logstore/logstore_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"errors"
+	"math/rand/v2"
 	"os"
 	"path/filepath"
 	"reflect"
+	"syscall"
 	"testing"
 
 	"github.com/syndtr/goleveldb/leveldb"
@@ -113,3 +115,101 @@
 		t.Errorf("%+v, %v", st, err)
 	}
 }
+
+// Two processes never have one store open, and the second one's failure is no
+// damage: it must not begin anew over the first.
+func TestOneProcessAtATime(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "a", "log")
+	s := open(t, dir)
+	if _, err := Open(dir); err == nil || errors.Is(err, ErrCorrupt) {
+		t.Errorf("opened twice: %v", err)
+	}
+	if err := s.Close(); err != nil {
+		t.Error(err)
+	}
+	if err := s.Save(agreement.Ready{Hard: &agreement.HardState{Term: 1}}); err == nil {
+		t.Error("saved in a store that is closed")
+	}
+	open(t, dir)
+}
+
+// A member starts on a full disk with all that it promised, promises nothing, and
+// goes on once there is room.
+func TestStartsOnAFullDisk(t *testing.T) {
+	d := newDisk()
+	s, err := openAt(d, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h := agreement.HardState{Term: 2, Vote: 7}
+	if err := errors.Join(s.Begin(7, agreement.Snapshot{}), s.Save(agreement.Ready{Hard: &h})); err != nil {
+		t.Fatal(err)
+	}
+	s.Close()
+	d.full = true
+	if s, err = openAt(d, dir); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	s.pause = 0
+	if got, err := read(s); err != nil || got.ID != 7 || got.Hard != h {
+		t.Errorf("%v, %v", got, err)
+	}
+	next := agreement.HardState{Term: 3, Vote: 8}
+	for range 5 {
+		if err := s.Save(agreement.Ready{Hard: &next}); !errors.Is(err, syscall.ENOSPC) {
+			t.Fatalf("%v", err)
+		}
+	}
+	files := len(d.dirs[dir].now)
+	d.full = false
+	if err := s.Save(agreement.Ready{Hard: &next}); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := read(s); err != nil || got.Hard != next {
+		t.Errorf("%v, %v", got, err)
+	}
+	if files > 8 {
+		t.Errorf("%d files after tries on a full disk", files)
+	}
+}
+
+// What a failed sync left in the page cache is neither read as stored, where it
+// can't be written again, nor taken for damage.
+func TestPageCacheIsNotBelieved(t *testing.T) {
+	d := newDisk()
+	s, err := openAt(d, dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.Begin(7, agreement.Snapshot{}); err != nil {
+		t.Fatal(err)
+	}
+	d.failSyncs = 1
+	if err := s.Save(agreement.Ready{Hard: &agreement.HardState{Term: 9, Vote: 9}}); !errors.Is(err, syscall.EIO) {
+		t.Fatalf("%v", err)
+	}
+	s.Close() // the process ends; the machine goes on
+	d.full = true
+	if s, err := openAt(d, dir); err == nil || errors.Is(err, ErrCorrupt) {
+		got, _ := read(s)
+		t.Errorf("%v, %v", got, err)
+	}
+	d.full = false
+	if s, err = openAt(d, dir); err != nil {
+		t.Fatal(err)
+	}
+	defer s.Close()
+	got, err := read(s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	back, err := openAt(d.lose(rand.New(rand.NewPCG(1, 1))), dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer back.Close()
+	if again, err := read(back); err != nil || !again.same(got) {
+		t.Errorf("read as %v, and %v after the power was gone, %v", got, again, err)
+	}
+}
