--- a/agreement/logstore/damage_test.go
+++ b/agreement/logstore/damage_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"math/rand/v2"
 	"path/filepath"
+	"strconv"
+	"strings"
 	"sync"
 	"testing"
 
@@ -380,3 +382,40 @@
 		}
 	}
 }
+
+// Whoever names a manifest finds it: a pointer that outlived the power while its
+// manifest did not would, a life later, name a new manifest of the same number
+// that is only half written. (Found by TestPowerLost, once in 10,000 seeds.)
+func TestPointersOutliveNoManifest(t *testing.T) {
+	none(t, seeds(400, func(seed uint64) error {
+		r := rand.New(rand.NewPCG(seed, 7))
+		h := &host{r: r, id: 7}
+		d := newDisk()
+		for range 2 {
+			s, err := h.begin(d)
+			if err != nil {
+				return err
+			}
+			if err := h.live(d, s, 2, false); err != nil {
+				return err
+			}
+			s.Close()
+			d = d.clone()
+		}
+		d.dieAt = d.steps + 1 + r.IntN(25)
+		if s, err := h.begin(d); err == nil {
+			s.Close()
+		}
+		now := d.lose(r).dirs[dir].now
+		highest := -1
+		for name := range now {
+			if number, err := strconv.Atoi(strings.TrimPrefix(name, currentName+".")); err == nil {
+				highest = max(highest, number)
+			}
+		}
+		if now[fmt.Sprintf("MANIFEST-%06d", highest)] == nil {
+			return fmt.Errorf("CURRENT.%d is there and its manifest isn't: %s", highest, d.listing())
+		}
+		return nil
+	}))
+}
--- a/agreement/logstore/storage.go
+++ b/agreement/logstore/storage.go
@@ -21,7 +21,7 @@
 //
 //   - The first sync of a file syncs its folder too: without it a new journal is
 //     a file of synced bytes that may have no name.
-//   - A manifest is synced before it becomes the current one.
+//   - A manifest is synced, and its name, before it becomes the current one.
 //   - CURRENT is never renamed into place: each manifest gets a small file of its
 //     own, CURRENT.n, and the highest of them counts (goleveldb reads the same
 //     names). So no moment exists in which a lost rename leaves no pointer at all.
@@ -138,7 +138,8 @@
 	if err != nil {
 		return err
 	}
-	if err := errors.Join(m.Sync(), m.Close()); err != nil {
+	// Its name must last before the one that leads to it may.
+	if err := errors.Join(m.Sync(), m.Close(), s.fs.SyncDir(s.dir)); err != nil {
 		return err
 	}
 	name := currentName + "." + strconv.FormatInt(fd.Num, 10)
