--- a/agreement/fuzz_test.go
+++ b/agreement/fuzz_test.go
@@ -21,6 +21,9 @@
 	add(Message{Kind: Vote, From: 2, To: 1, Term: 9, Force: true}, Message{Kind: Install, From: 3, To: 1, Term: 9, Snapshot: &Snapshot{Index: 7, Term: 4}})
 	add(Message{Kind: Campaign, From: 2, To: 1, Term: 3}, Message{Kind: VoteReply, From: 2, To: 1, Term: 4},
 		Message{Kind: AppendReply, From: 2, To: 1, Term: 4, Index: 1 << 60}, Message{Kind: AppendReply, From: 2, To: 1, Term: 4, Reject: true, Index: 1<<64 - 1})
+	part := &Snapshot{Index: 9, Term: 4, Members: []Member{{ID: 1, Voter: true}}, Data: []byte("abc")}
+	add(Message{Kind: Piece, From: 2, To: 1, Term: 9, Snapshot: part, Size: 6}, Message{Kind: Piece, From: 2, To: 1, Term: 9, Snapshot: part, Offset: 3, Size: 6, Sum: 7},
+		Message{Kind: Piece, From: 2, To: 1, Term: 9, Snapshot: part, Offset: 1<<64 - 2, Size: 3}, Message{Kind: PieceReply, From: 3, To: 1, Term: 9, Index: 9, Offset: 1 << 63})
 	f.Fuzz(func(t *testing.T, data []byte, ticks byte) {
 		var ms []Message
 		if cbor.Unmarshal(data, &ms) != nil || len(ms) > 100 {
--- a/agreement/sim_test.go
+++ b/agreement/sim_test.go
@@ -49,7 +49,8 @@
 func (s *sim) start(id ID) {
 	d := s.disks[id]
 	s.applied[id] = nil
-	s.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Seed: s.rng.Uint64(), PieceBytes: 16, TailEntries: 6},
+	s.nodes[id] = New(Config{ID: id, ElectionTicks: 10, HeartbeatTicks: 2, Seed: s.rng.Uint64(),
+		PieceBytes: 16 << (s.seed % 4 * 2), TailEntries: 6},
 		Stored{Hard: d.Hard, Snapshot: d.Snapshot, Entries: slices.Clone(d.Entries)})
 }
 
