--- a/agreement/snapshot_test.go
+++ b/agreement/snapshot_test.go
@@ -336,3 +336,25 @@
 		t.Errorf("%d messages, next is %d", len(sent), p.next)
 	}
 }
+
+// A new leader that has the same snapshot goes on with it where the one before left off.
+func TestAnotherLeaderGoesOn(t *testing.T) {
+	t.Parallel()
+	n := alone(1, nil)
+	s := Snapshot{Index: 20, Term: 2, Data: state(20)}
+	first, second := pieces(2, 3, s, 16), pieces(3, 4, s, 16)
+	n.Step(first[0])
+	n.Step(first[1])
+	carried(n)
+	n.Step(second[0])
+	sent, _ := carried(n)
+	if len(sent) != 1 || sent[0].To != 3 || sent[0].Offset != 32 || sent[0].Reject {
+		t.Fatalf("it is told %+v", sent)
+	}
+	for _, m := range second[2:] {
+		n.Step(m)
+	}
+	if _, got := carried(n); len(got) != 1 || !bytes.Equal(got[0].Data, state(20)) || n.Refused() != 0 {
+		t.Errorf("%d installed, %d refused", len(got), n.Refused())
+	}
+}
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -57,7 +57,8 @@
 	diskDown bool
 	halted   string
 	decoded  *decoded // the snapshot that was checked last, until it is taken over
-	unread   uint64   // index of the last snapshot that was refused, to say so once
+	unread   uint64   // index of the last snapshot that can't be read, to say so once
+	refused  uint64   // snapshots that came and were not taken over, as far as logged
 	encoded  int      // snapshots made
 	lanes    map[laneKey]*lane
 	addrs    map[agreement.ID]string // of those who sent something, for answers to them
@@ -337,6 +338,10 @@
 
 // note tells those who wait of changed roles and confirmed rounds.
 func (c *Core) note() {
+	if k := c.node.Refused(); k != c.refused {
+		c.refused = k
+		c.cfg.Log.Warn("a snapshot came damaged, or can't be read here: it is asked for again", "refused", k, "leader", fmt.Sprintf("%x", uint64(c.node.Leader())))
+	}
 	if c.role != c.node.Role() || c.leader != c.node.Leader() {
 		c.role, c.leader = c.node.Role(), c.node.Leader()
 		c.cfg.Log.Info("role", "role", c.role.String(), "term", c.node.Term(), "leader", fmt.Sprintf("%x", uint64(c.leader)))
--- a/controlplane/faults_test.go
+++ b/controlplane/faults_test.go
@@ -191,3 +191,28 @@
 		t.Error(err)
 	}
 }
+
+// A snapshot that is taken over wakes limiters that wait for news, and ends calls whose
+// entries it stands for: what came of them is not told, they are made again elsewhere.
+func TestSnapshotsWakeThoseWhoWait(t *testing.T) {
+	t.Parallel()
+	c, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	p := &pending{index: 7, term: 1}
+	c.calls[7] = p
+	changed := c.changed
+	if _, err := c.Deliver(t.Context(), &api.Deliver{From: 2, Addr: "b", Messages: []agreement.Message{{Kind: agreement.Install, From: 2, To: 1, Term: 4,
+		Snapshot: &agreement.Snapshot{Index: 9, Term: 4, Members: c.node.Members(), Data: good(t, 8)}}}}); err != nil {
+		t.Fatal(err)
+	}
+	select {
+	case <-changed:
+	default:
+		t.Error("those who wait for news are not woken")
+	}
+	if p.answer == nil || p.answer.Status != 0 || len(c.calls) != 0 || c.state.Revision != 8 {
+		t.Errorf("a call whose entry the snapshot stands for: %+v, revision %d", p.answer, c.state.Revision)
+	}
+}
