--- a/agreement/snapshot_test.go
+++ b/agreement/snapshot_test.go
@@ -41,7 +41,8 @@
 
 // Pieces of three snapshots, of two leaders of two terms and of the same index with other
 // bytes, damaged, doubled, lost, in any order: what is installed is one of the three,
-// whole, and never one behind what is known to be agreed.
+// whole, and never one behind what is known to be agreed. Where nothing is damaged and
+// one leader sends, nothing is refused either.
 func TestPiecesMixed(t *testing.T) {
 	t.Parallel()
 	whole, refused := 0, uint64(0)
@@ -50,8 +51,14 @@
 		n := alone(1, nil)
 		snaps := []Snapshot{{Index: 20, Term: 2, Data: state(20)}, {Index: 30, Term: 2, Data: state(30)}, {Index: 20, Term: 2, Data: bytes.ToUpper(state(20))}}
 		var ms []Message
+		calm := seed%3 == 0
 		for i, s := range snaps {
 			term := uint64(3 + i%2)
+			if calm {
+				if term = 3; i == 2 {
+					break
+				}
+			}
 			for range 2 {
 				ms = append(ms, pieces(ID(2+i%2), term, s, 16)...)
 			}
@@ -67,7 +74,7 @@
 		at := uint64(0)
 		for range 3 {
 			for _, m := range ms {
-				if rng.IntN(60) == 0 {
+				if !calm && rng.IntN(60) == 0 {
 					s := *m.Snapshot
 					s.Data = slices.Clone(s.Data)
 					s.Data[rng.IntN(len(s.Data))] ^= 1 << rng.IntN(8)
@@ -84,7 +91,9 @@
 				}
 			}
 		}
-		refused += n.Refused()
+		if refused += n.Refused(); calm && n.Refused() > 0 {
+			t.Fatalf("seed %d: %d refused, and nothing was damaged", seed, n.Refused())
+		}
 	}
 	if whole < 1000 || refused < 20 {
 		t.Errorf("%d installed, %d refused: too few to say anything", whole, refused)
@@ -140,7 +149,6 @@
 			}
 		}
 	}
-	lose = func(k int) bool { return k%5 == 0 }
 	fault = unreadable
 	pass(60)
 	if installed != 0 || f.Refused() == 0 || f.Refused() > 3 || f.Commit() != 0 {
@@ -152,6 +160,7 @@
 		l.Compact(l.Applied(), data[:50])
 	}
 	fault, sent = nil, 0
+	lose = func(k int) bool { return k%5 == 0 }
 	pass(200)
 	if installed != 1 || f.Commit() != l.Commit() || sent > 60 {
 		t.Errorf("%d installed with %d pieces, it knows %d of %d", installed, sent, f.Commit(), l.Commit())
@@ -242,3 +251,110 @@
 		t.Errorf("base %d: of 1 KB a half stays", small.base)
 	}
 }
+
+// Heartbeats go out beside what is large and overtake it: none of them is turned down
+// for an entry that is still on its way, which is not sent again for it.
+func TestHeartbeatsOvertakeEntries(t *testing.T) {
+	t.Parallel()
+	l, f := leads(t), alone(2, nil)
+	var out []Message // entries on their way
+	beats := 0
+	pass := func() {
+		for sent, _ := carried(l); len(sent) > 0; sent, _ = carried(l) {
+			for _, m := range sent {
+				if m.To != 2 {
+					continue
+				}
+				if m.Bulk() {
+					out = append(out, m)
+					continue
+				}
+				beats++
+				f.Step(m)
+				back, _ := carried(f)
+				for _, r := range back {
+					l.Step(r)
+				}
+			}
+		}
+	}
+	for range 6 {
+		l.Tick()
+		pass()
+	}
+	if l.peers[2].match != l.last() {
+		t.Fatal("the follower is not in step")
+	}
+	l.Propose(make([]byte, 10<<10))
+	l.Propose(make([]byte, 10<<10))
+	pass()
+	beats = 0
+	for range 5 {
+		l.Beat()
+		pass()
+	}
+	if len(out) != 1 || beats != 5 || l.peers[2].round != l.round {
+		t.Fatalf("%d messages with entries, %d heartbeats, round %d of %d answered", len(out), beats, l.peers[2].round, l.round)
+	}
+	l.Lost(2) // it is not to come
+	l.Beat()
+	pass()
+	if len(out) != 2 || beats != 6 {
+		t.Fatalf("after a loss: %d messages with entries, %d heartbeats", len(out), beats)
+	}
+	for len(out) > 0 {
+		m := out[0]
+		out = out[1:]
+		f.Step(m)
+		back, _ := carried(f)
+		for _, r := range back {
+			l.Step(r)
+		}
+		pass()
+	}
+	if f.LastIndex() != l.LastIndex() || l.Commit() != l.LastIndex() {
+		t.Errorf("it has %d of %d, agreed are %d", f.LastIndex(), l.LastIndex(), l.Commit())
+	}
+}
+
+// Two answers that the log doesn't fit, one to a heartbeat and one to the entries beside
+// it, have what is missing sent once.
+func TestOneRejectionCounts(t *testing.T) {
+	t.Parallel()
+	l := leads(t)
+	for range 9 {
+		l.Propose(make([]byte, 2<<10))
+		answer(l, 3)
+	}
+	p := l.peers[2]
+	p.next = l.last() + 1
+	for range 2 {
+		l.Step(Message{Kind: AppendReply, From: 2, To: 1, Term: l.Term(), Index: 4, Reject: true, Tried: l.last()})
+	}
+	sent, _ := carried(l)
+	if p.next != 5 || len(sent) != 1 || sent[0].Index != 4 {
+		t.Errorf("%d messages, next is %d", len(sent), p.next)
+	}
+}
+
+// A new leader that has the same snapshot goes on with it where the one before left off.
+func TestAnotherLeaderGoesOn(t *testing.T) {
+	t.Parallel()
+	n := alone(1, nil)
+	s := Snapshot{Index: 20, Term: 2, Data: state(20)}
+	first, second := pieces(2, 3, s, 16), pieces(3, 4, s, 16)
+	n.Step(first[0])
+	n.Step(first[1])
+	carried(n)
+	n.Step(second[0])
+	sent, _ := carried(n)
+	if len(sent) != 1 || sent[0].To != 3 || sent[0].Offset != 32 || sent[0].Reject {
+		t.Fatalf("it is told %+v", sent)
+	}
+	for _, m := range second[2:] {
+		n.Step(m)
+	}
+	if _, got := carried(n); len(got) != 1 || !bytes.Equal(got[0].Data, state(20)) || n.Refused() != 0 {
+		t.Errorf("%d installed, %d refused", len(got), n.Refused())
+	}
+}
