--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -51,7 +51,7 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.joint))
+		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.heard), truth(p.joint))
 	}
 	return b
 }
@@ -89,13 +89,16 @@
 func appendMembers(b []byte, ms []Member) []byte {
 	b = binary.AppendUvarint(b, uint64(len(ms)))
 	for _, m := range ms {
-		v := uint64(m.ID) << 2
+		v := uint64(m.ID) << 3
 		if m.Voter {
 			v |= 1
 		}
 		if m.Old {
 			v |= 2
 		}
+		if m.Joint {
+			v |= 4
+		}
 		b = binary.AppendUvarint(b, v)
 	}
 	return b
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -77,7 +77,8 @@
 	out         uint64 // ... up to this index
 	waited      int    // ... for so many ticks
 	quiet       int    // ticks since it was heard of
-	joint       bool   // understands joint changes
+	heard       bool   // it has answered this leader
+	joint       bool   // ... and said that it understands joint changes
 }
 
 // New returns a member with what its disk holds.
@@ -445,7 +446,7 @@
 //
 // Errors: [ErrNotLeader]; [ErrPending] while a change is under way or nothing of this
 // term is agreed; [ErrStep] for more than that; [ErrJoint] for a swap before all voters
-// of both sets were heard to understand one: add and remove one by one then.
+// of both sets are written down to understand one: add and remove one by one then.
 func (n *Node) Change(members []Member) error {
 	if n.role != Leader {
 		return ErrNotLeader
@@ -497,13 +498,23 @@
 // joint changes. One that doesn't would elect and agree by one set alone.
 func (n *Node) Understood(members []Member) bool {
 	for _, m := range slices.Concat(n.members, members) {
-		if p := n.peers[m.ID]; m.votes() && m.ID != n.cfg.ID && (p == nil || !p.joint) {
+		if o := find(n.members, m.ID); m.votes() && (o == nil || !o.Joint) {
 			return false
 		}
 	}
 	return true
 }
 
+// Heard tells a leader whether a member has answered it, and whether it understands
+// joint changes by what it said last.
+func (n *Node) Heard(id ID) (heard, joint bool) {
+	if id == n.cfg.ID {
+		return true, true
+	}
+	p := n.peers[id]
+	return p != nil && p.heard, p != nil && p.joint
+}
+
 // Bears tells a leader that a change to these members asks nobody for a majority that
 // it can't give: a majority of the voters as they are, and of those to be, were heard of
 // within an election time, and each voter to be that is none yet has all that is agreed.
--- a/agreement/step.go
+++ b/agreement/step.go
@@ -172,7 +172,7 @@
 	if n.role != Leader || p == nil {
 		return
 	}
-	p.active, p.quiet, p.joint = true, 0, m.Joint
+	p.active, p.quiet, p.heard, p.joint = true, 0, true, m.Joint
 	p.round = max(p.round, min(m.Round, n.round))
 	if m.Reject {
 		if p.paused && p.next <= n.snap.Index {
--- a/agreement/types.go
+++ b/agreement/types.go
@@ -22,6 +22,9 @@
 	// Old is set in a joint change only, by the leader: the member counts toward the
 	// majorities of the set that is on its way out.
 	Old bool `cbor:"4,keyasint,omitempty"`
+	// Joint: it has said that it understands joint changes. Written down, as a leader
+	// must know it of voters that it never heard of.
+	Joint bool `cbor:"5,keyasint,omitempty"`
 }
 
 // votes tells whether the member counts toward any majority.
--- a/api/rpc.go
+++ b/api/rpc.go
@@ -144,6 +144,7 @@
 	ID      agreement.ID `cbor:"1,keyasint"`
 	Addr    string       `cbor:"2,keyasint"`
 	Leaving bool         `cbor:"3,keyasint,omitempty"`
+	Joint   bool         `cbor:"4,keyasint,omitempty"` // it understands joint changes of members
 }
 
 // Deliver carries messages of the agreement.
--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -37,7 +37,7 @@
 			continue
 		}
 		call, cancel := context.WithTimeout(ctx, deliverTimeout)
-		r, err := api.CallJoin(call, conn, &api.Join{ID: c.id, Addr: c.cfg.Addr})
+		r, err := api.CallJoin(call, conn, &api.Join{ID: c.id, Addr: c.cfg.Addr, Joint: true})
 		cancel()
 		if err == nil && r.Status == http.StatusOK {
 			return
@@ -79,7 +79,7 @@
 	case known, q.Leaving:
 		return &api.Result{Status: http.StatusOK}, nil
 	}
-	err := c.node.Change(append(slices.Clone(ms), agreement.Member{ID: q.ID, Addr: q.Addr}))
+	err := c.node.Change(append(slices.Clone(ms), agreement.Member{ID: q.ID, Addr: q.Addr, Joint: q.Joint}))
 	c.process()
 	if err != nil {
 		return &api.Result{Why: err.Error()}, nil
@@ -190,10 +190,13 @@
 	}
 	switch {
 	case in >= 0 && out >= 0:
-		if what, next = "swap", vote(in, true); n.Understood(next) {
-			next[out].Voter = false
-		} else if voters > k.wanted { // of older versions: one more, then one less
+		what, next = "swap", vote(in, true)
+		switch next[out].Voter = false; {
+		case n.Understood(next):
+		case voters > k.wanted: // some are of older versions: one more, then one less
 			what, next = "take the vote", vote(out, false)
+		default:
+			what, next = "give a vote", vote(in, true)
 		}
 	case in >= 0 && voters < k.wanted:
 		what, next = "give a vote", vote(in, true)
@@ -205,6 +208,15 @@
 	if next != nil && n.Bears(next) {
 		return what, next
 	}
+	note := slices.Clone(ms)
+	for i := range note {
+		if heard, joint := n.Heard(note[i].ID); heard {
+			note[i].Joint = joint
+		}
+	}
+	if !slices.Equal(note, ms) {
+		return "version", note
+	}
 	if drop >= 0 {
 		return "drop", slices.Delete(slices.Clone(ms), drop, drop+1)
 	}
