--- a/agreement/change_test.go
+++ b/agreement/change_test.go
@@ -335,3 +335,62 @@
 		t.Errorf("%v and %v in term %d", h.nodes[2].Role(), h.nodes[3].Role(), h.nodes[2].Term())
 	}
 }
+
+// A new leader has heard of nobody yet: it takes no change of voters for one that is borne.
+func TestANewLeaderHasHeardOfNobody(t *testing.T) {
+	t.Parallel()
+	h := newHand(t, 3, 1)
+	l := h.nodes[1]
+	for _, p := range l.peers {
+		p.heard = false // as it is right after an election
+	}
+	if next := swapped(l.Members(), 3, 4); l.Bears(next) {
+		t.Error("borne, by members that were never heard of")
+	}
+}
+
+// A member whose vote was taken while it was cut off comes back believing that it
+// votes: it unseats nobody, raises no term, confirms nothing, and learns how things stand.
+// One that was dropped unseats nobody either.
+func TestOneThatIsOutDisturbsNobody(t *testing.T) {
+	t.Parallel()
+	for _, dropped := range []bool{false, true} {
+		h := newHand(t, 3, 1)
+		l, out := h.nodes[1], h.nodes[3]
+		h.only(1, 2, 4)
+		if err := l.Change(swapped(l.Members(), 3, 4)); err != nil {
+			t.Fatal(err)
+		}
+		h.play()
+		if dropped {
+			if err := l.Change(slices.DeleteFunc(slices.Clone(l.Members()), func(m Member) bool { return m.ID == 3 })); err != nil {
+				t.Fatal(err)
+			}
+			h.play()
+		}
+		out.timeout = 1
+		term := l.Term()
+		for range 200 { // it asks for votes all the time
+			for _, id := range sorted(h.nodes) {
+				h.nodes[id].Tick()
+			}
+			h.play()
+		}
+		if !out.votes1() || out.Term() != term {
+			t.Fatalf("dropped %v: it votes by its log: %v, term %d", dropped, out.votes1(), out.Term())
+		}
+		h.only(1, 2, 3, 4)
+		for range 100 {
+			for _, id := range sorted(h.nodes) {
+				h.nodes[id].Tick()
+			}
+			h.play()
+		}
+		if l.Role() != Leader || l.Term() != term || out.Role() == Leader {
+			t.Errorf("dropped %v: the leader is %v in term %d, was in %d", dropped, l.Role(), l.Term(), term)
+		}
+		if !dropped && (out.votes1() || out.Leader() != 1 || out.Commit() != l.Commit()) {
+			t.Errorf("it votes: %v, follows %d, knows %d of %d", out.votes1(), out.Leader(), out.Commit(), l.Commit())
+		}
+	}
+}
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -528,7 +528,7 @@
 		}
 	}
 	heard := func(p *progress) uint64 {
-		if p.quiet < n.cfg.ElectionTicks {
+		if p.heard && p.quiet < n.cfg.ElectionTicks {
 			return 1
 		}
 		return 0
--- a/controlplane/repair_test.go
+++ b/controlplane/repair_test.go
@@ -451,3 +451,17 @@
 		t.Errorf("%d changes in two steps, %d joint ones: too few to say anything", even, joint)
 	}
 }
+
+// An even number of voters bears no more losses than one less: of four first voters
+// one stands by from then on.
+func TestFourFirstVoters(t *testing.T) {
+	t.Parallel()
+	s := newSite(1, 4, 0, "")
+	s.mixed, s.wanted = true, 3
+	for _, m := range s.machines {
+		m.keeper.wanted = 3
+	}
+	if err := s.days(6, 1); err != nil {
+		t.Fatal(err)
+	}
+}
