--- a/agreement/sim_test.go
+++ b/agreement/sim_test.go
@@ -25,6 +25,7 @@
 	cut     map[ID]bool
 	value   int
 	granted int // reads that were confirmed
+	swaps   int // joint changes begun
 }
 
 func newSim(t *testing.T, seed uint64, n int) *sim {
@@ -32,7 +33,7 @@
 		applied: map[ID][]Entry{}, acked: map[uint64]string{}, leaders: map[uint64]ID{}, cut: map[ID]bool{}, next: 100}
 	var first []Member
 	for i := range n {
-		first = append(first, Member{ID: ID(i + 1), Addr: fmt.Sprint(i + 1), Voter: true})
+		first = append(first, Member{ID: ID(i + 1), Addr: fmt.Sprint(i + 1), Voter: true, Joint: true})
 	}
 	for _, m := range first {
 		s.disks[m.ID] = &Stored{Snapshot: Snapshot{Members: first}}
@@ -218,13 +219,23 @@
 	ms := l.Members()
 	for _, id := range sorted(s.disks) {
 		if find(ms, id) == nil {
-			l.Change(append(slices.Clone(ms), Member{ID: id, Addr: fmt.Sprint(id)}))
+			l.Change(append(slices.Clone(ms), Member{ID: id, Addr: fmt.Sprint(id), Joint: true}))
 			return
 		}
 	}
+	gone := slices.IndexFunc(ms, func(m Member) bool { return m.Voter && s.disks[m.ID] == nil })
 	for i, m := range ms {
 		next := slices.Clone(ms)
 		switch _, there := s.disks[m.ID]; {
+		case s.seed%2 == 0 && there && !m.Voter && gone >= 0 && l.CaughtUp(m.ID): // half the runs: one decision
+			next[i].Voter, next[gone].Voter = true, false
+			if l.Change(next) == nil {
+				s.swaps++
+			}
+			return
+		case !there && !m.Voter:
+			l.Change(slices.Delete(next, i, i+1))
+			return
 		case there && !m.Voter && l.CaughtUp(m.ID):
 			next[i].Voter = true
 			l.Change(next)
@@ -241,6 +252,7 @@
 // member has everything that was ever agreed on. A seed reproduces a run.
 func TestAgreementUnderFaults(t *testing.T) {
 	t.Parallel()
+	swaps := 0
 	for seed := range uint64(1200) {
 		s := newSim(t, seed, 3)
 		for range 600 {
@@ -249,6 +261,11 @@
 		}
 		clear(s.cut)
 		s.settle()
+		swaps += s.swaps
+	}
+	t.Log(swaps, "joint changes")
+	if swaps < 300 {
+		t.Errorf("%d swaps are too few to say anything", swaps)
 	}
 }
 
