--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -96,8 +96,8 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, id: id, register: register{calls: map[uint64]*pending{}}, keeper: keeper{wanted: cfg.Voters}, changed: make(chan struct{}), heard: make(chan struct{}),
-		lanes: map[agreement.ID]*lane{}, addrs: map[agreement.ID]string{}}
+	c := &Core{cfg: cfg, id: id, register: register{calls: map[uint64]*pending{}}, keeper: keeper{wanted: cfg.Voters},
+		changed: make(chan struct{}), heard: make(chan struct{}), lanes: map[agreement.ID]*lane{}, addrs: map[agreement.ID]string{}}
 	if err := c.restore(st.Snapshot); err != nil {
 		return nil, err
 	}
--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -100,7 +100,13 @@
 		}
 		return
 	}
-	c.cfg.Log.Info("members", "change", what)
+	var votes []string
+	for _, m := range next {
+		if m.Voter {
+			votes = append(votes, fmt.Sprintf("%x %s", uint64(m.ID), m.Addr))
+		}
+	}
+	c.cfg.Log.Info("members", "change", what, "voters", votes)
 	c.process()
 }
 
--- a/controlplane/repair_test.go
+++ b/controlplane/repair_test.go
@@ -313,6 +313,8 @@
 		}
 		if l := s.leader(); l == nil || voterCount(l.node.Members()) != s.wanted {
 			s.fail("not %d voters", s.wanted)
+		} else if l.node.Commit() < highest {
+			s.fail("the leader knows that %d places are agreed, %d were", l.node.Commit(), highest)
 		}
 	}
 	if s.bad != nil {
