--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -60,7 +60,7 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.joint), truth(p.snapshot != nil), truth(p.catchUp))
+		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.answered), truth(p.joint), truth(p.snapshot != nil), truth(p.catchUp))
 		if x := p.snapshot; x != nil {
 			num(x.snap.Index, x.sum, uint64(x.acked), uint64(x.sent), uint64(x.hold), truth(x.tries > 0))
 		}
@@ -106,13 +106,16 @@
 func appendMembers(b []byte, ms []Member) []byte {
 	b = binary.AppendUvarint(b, uint64(len(ms)))
 	for _, m := range ms {
-		v := uint64(m.ID) << 2
+		v := uint64(m.ID) << 3
 		if m.Voter {
 			v |= 1
 		}
 		if m.Old {
 			v |= 2
 		}
+		if m.Joint {
+			v |= 4
+		}
 		b = binary.AppendUvarint(b, v)
 	}
 	return b
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -100,12 +100,13 @@
 	quiet       int // ticks since it was heard of
 	snapshot    *transfer
 	catchUp     bool // a snapshot was sent, and not all since then is there
-	joint       bool // understands joint changes
+	answered    bool // it has answered this leader
+	joint       bool // ... and said that it understands joint changes
 }
 
 // heard notes that a member has answered a round, of those that there were.
 func (p *progress) heard(round, rounds uint64) {
-	p.active, p.quiet = true, 0
+	p.active, p.quiet, p.answered = true, 0, true
 	p.round = max(p.round, min(round, rounds))
 }
 
@@ -465,7 +466,7 @@
 //
 // Errors: [ErrNotLeader]; [ErrPending] while a change is under way or nothing of this
 // term is agreed; [ErrStep] for more than that; [ErrJoint] for a swap before all voters
-// of both sets were heard to understand one: add and remove one by one then.
+// of both sets are written down to understand one: add and remove one by one then.
 func (n *Node) Change(members []Member) error {
 	if n.role != Leader {
 		return ErrNotLeader
@@ -495,7 +496,7 @@
 	}
 	if joint := added+taken > 1; !joint {
 		next = settled(next)
-	} else if !n.understood(next) {
+	} else if !n.Understood(next) {
 		return ErrJoint
 	}
 	return n.add(Entry{Members: next})
@@ -513,17 +514,27 @@
 // Changing tells that a change of members is under way: its last entry isn't agreed.
 func (n *Node) Changing() bool { return n.since > n.commit || len(outgoing(n.members)) > 0 }
 
-// understood tells a leader that all voters of both sets understand joint changes.
-// One that doesn't would elect and agree by one set alone.
-func (n *Node) understood(members []Member) bool {
-	for _, m := range members {
-		if p := n.peers[m.ID]; m.votes() && m.ID != n.cfg.ID && (p == nil || !p.joint) {
+// Understood tells a leader that all voters, as they are and those to be, understand
+// joint changes. One that doesn't would elect and agree by one set alone.
+func (n *Node) Understood(members []Member) bool {
+	for _, m := range slices.Concat(n.members, members) {
+		if o := find(n.members, m.ID); m.votes() && (o == nil || !o.Joint) {
 			return false
 		}
 	}
 	return true
 }
 
+// Heard tells a leader whether a member has answered it, and whether it understands
+// joint changes by what it said last.
+func (n *Node) Heard(id ID) (heard, joint bool) {
+	if id == n.cfg.ID {
+		return true, true
+	}
+	p := n.peers[id]
+	return p != nil && p.answered, p != nil && p.joint
+}
+
 // Bears tells a leader that a change to these members asks nobody for a majority that
 // it can't give: a majority of the voters as they are, and of those to be, were heard of
 // within an election time, and each voter to be that is none yet has all that is agreed.
@@ -537,7 +548,7 @@
 		}
 	}
 	heard := func(p *progress) uint64 {
-		if p.quiet < n.cfg.ElectionTicks {
+		if p.answered && p.quiet < n.cfg.ElectionTicks {
 			return 1
 		}
 		return 0
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -52,6 +52,7 @@
 	servers serverList
 	asks    asks
 	ticks   int
+	keeper  keeper
 	// diskDown: nothing is promised or answered, as the disk takes no writes or, where
 	// halted says why, as this member can't carry on what the others agreed on.
 	diskDown bool
@@ -99,7 +100,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &Core{cfg: cfg, id: id, register: register{calls: map[uint64]*pending{}}, changed: make(chan struct{}), heard: make(chan struct{}),
+	c := &Core{cfg: cfg, id: id, register: register{calls: map[uint64]*pending{}}, keeper: keeper{wanted: cfg.Voters}, changed: make(chan struct{}), heard: make(chan struct{}),
 		lanes: map[laneKey]*lane{}, parted: map[agreement.ID]bool{}, partly: map[agreement.ID]*parts{}, addrs: map[agreement.ID]string{}}
 	d, err := decode(&st.Snapshot)
 	if err != nil {
@@ -213,9 +214,9 @@
 		c.mu.Lock()
 		if !c.diskDown {
 			c.node.Tick()
-			if c.ticks++; c.ticks%tendTicks == 0 {
-				c.tend()
-			}
+			c.ticks++
+			c.keeper.ticks = c.ticks
+			c.tend()
 		}
 		c.process()
 		stray := c.node.Leader() == 0 || !slices.ContainsFunc(c.node.Members(), func(m agreement.Member) bool { return m.ID == c.id })
--- a/controlplane/cutoff_test.go
+++ b/controlplane/cutoff_test.go
@@ -55,12 +55,12 @@
 	return nil, ctx.Err()
 }
 
-func (c *cuttable) Deliver(ctx context.Context, d *api.Deliver) (*api.None, error) {
+func (c *cuttable) Deliver(ctx context.Context, d *api.Deliver) (*api.Delivered, error) {
 	c.cuts.mu.Lock()
 	lost := c.cuts.off != "" && (d.Addr == c.cuts.off && !c.cuts.says || c.addr == c.cuts.off && !c.cuts.hears)
 	c.cuts.mu.Unlock()
 	if lost {
-		return silence[api.None](ctx)
+		return silence[api.Delivered](ctx)
 	}
 	return c.Core.Deliver(ctx, d)
 }
--- a/controlplane/history_test.go
+++ b/controlplane/history_test.go
@@ -65,6 +65,7 @@
 
 type member struct {
 	register
+	keeper   keeper
 	unsynced []agreement.Ready // of one that promises before the disk has it
 }
 
@@ -291,37 +292,18 @@
 	return voters == coreSize && l.node.Change(slices.Clone(l.node.Members())) == nil
 }
 
-// tend takes members in and out, one at a time, as a leader does.
+// tend takes members in, and has the leader's keeper decide who is to vote.
 func (w *world) tend(l *member) {
 	ms := l.node.Members()
 	for slot, id := range w.slots {
 		if w.members[id] != nil && !slices.ContainsFunc(ms, func(m agreement.Member) bool { return m.ID == id }) {
-			l.node.Change(append(slices.Clone(ms), agreement.Member{ID: id, Addr: fmt.Sprint(slot)}))
+			l.node.Change(append(slices.Clone(ms), agreement.Member{ID: id, Addr: fmt.Sprint(slot), Joint: true}))
 			return
 		}
 	}
-	voters, gone, ready := 0, -1, -1
-	for i, m := range ms {
-		lost := !slices.Contains(w.slots, m.ID)
-		switch {
-		case m.Voter:
-			if voters++; lost || l.node.Quiet(m.ID) > replaceTicks {
-				gone = i
-			}
-		case lost:
-			l.node.Change(slices.Delete(slices.Clone(ms), i, i+1))
-			return
-		case l.node.Quiet(m.ID) < electionTicks && l.node.CaughtUp(m.ID):
-			ready = i
-		}
-	}
-	next := slices.Clone(ms)
-	switch {
-	case ready >= 0 && (voters < coreSize || voters == coreSize && gone >= 0):
-		next[ready].Voter = true
+	l.keeper.wanted = coreSize
+	if _, next := l.keeper.next(l.node); next != nil {
 		l.node.Change(next)
-	case gone >= 0 && voters > coreSize:
-		l.node.Change(slices.Delete(next, gone, gone+1))
 	}
 }
 
@@ -471,7 +453,8 @@
 		}
 		m := w.members[id]
 		m.node.Tick()
-		if w.losses && m.node.Role() == agreement.Leader && w.now%tendTicks == 0 {
+		m.keeper.ticks++
+		if w.losses && m.node.Role() == agreement.Leader {
 			w.tend(m)
 		}
 		w.carry(id)
