--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -147,12 +147,22 @@
 	replaced // its successor has joined from its address: its disk is lost
 )
 
+// patience is how long a voter may be silent. One that has not answered this leader at
+// all was silent when it was elected as well: to count its silence anew from each
+// election would let leaders that are lost one after the other put off its replacement.
+func (k *keeper) patience(n *agreement.Node, id agreement.ID) int {
+	if answered, _ := n.Heard(id); !answered {
+		return electionTicks
+	}
+	return replaceTicks
+}
+
 func (k *keeper) why(n *agreement.Node, ms []agreement.Member, i int) int {
 	m := &ms[i]
 	switch {
 	case slices.ContainsFunc(ms[i+1:], func(o agreement.Member) bool { return o.Addr == m.Addr }):
 		return replaced
-	case n.Quiet(m.ID) > replaceTicks:
+	case n.Quiet(m.ID) > k.patience(n, m.ID):
 		return silent
 	case k.leaving[m.ID] > k.ticks:
 		return leaves
