--- a/agreement/logstore/logstore.go
+++ b/agreement/logstore/logstore.go
@@ -12,6 +12,7 @@
 package logstore
 
 import (
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"errors"
@@ -25,6 +26,7 @@
 	"github.com/fxamacker/cbor/v2"
 	"github.com/syndtr/goleveldb/leveldb"
 	"github.com/syndtr/goleveldb/leveldb/opt"
+	"github.com/syndtr/goleveldb/leveldb/util"
 
 	"example.org/elmspan/agreement"
 )
@@ -159,10 +161,20 @@
 	if err = s.get(keySnapshot, s.image.snapshot, &st.Snapshot); err != nil {
 		return st, err
 	}
-	for i, hash := range s.image.entries {
-		var e agreement.Entry
+	if len(s.image.entries) == 0 {
+		return st, nil
+	}
+	// One pass: a look-up of each would read the snapshot's block each time.
+	it := s.db.NewIterator(&util.Range{Start: entryKey(s.image.base + 1), Limit: entryKey(s.image.last() + 1)}, nil)
+	defer it.Release()
+	for it.Next() {
+		i := len(st.Entries)
 		index := s.image.base + 1 + uint64(i)
-		if err := s.get(entryKey(index), hash, &e); err != nil {
+		if i == len(s.image.entries) || !bytes.Equal(it.Key(), entryKey(index)) || recordHash(it.Key(), it.Value()) != s.image.entries[i] {
+			return st, fmt.Errorf("%w: entry %d isn't what was written", ErrCorrupt, index)
+		}
+		var e agreement.Entry
+		if err := decode(it.Value(), &e); err != nil {
 			return st, err
 		}
 		if e.Index != index {
@@ -170,6 +182,12 @@
 		}
 		st.Entries = append(st.Entries, e)
 	}
+	if err := it.Error(); err != nil {
+		return st, fmt.Errorf("logstore: reading the log: %w", s.blame(err))
+	}
+	if len(st.Entries) < len(s.image.entries) {
+		return st, fmt.Errorf("%w: entry %d is missing", ErrCorrupt, s.image.base+1+uint64(len(st.Entries)))
+	}
 	return st, nil
 }
 
@@ -260,12 +278,12 @@
 
 // get reads a record whose hash is known; 0: there is none.
 func (s *Store) get(key []byte, hash uint64, v any) error {
-	if hash == 0 {
-		return nil
-	}
 	if s.db == nil {
 		return fmt.Errorf("logstore: reading %s: %w", key, cmp.Or(s.broken, errClosed))
 	}
+	if hash == 0 {
+		return nil
+	}
 	data, err := s.db.Get(key, nil)
 	if err != nil {
 		return fmt.Errorf("logstore: reading %s: %w", key, s.blame(err))
