--- a/agreement/logstore/open.go
+++ b/agreement/logstore/open.go
@@ -17,7 +17,7 @@
 func openAt(fs fileSystem, dir string) (*Store, error) {
 	if f, err := fs.Open(dir + lostSuffix); err == nil {
 		f.Close()
-		return nil, fmt.Errorf("%w: it was found so before, and is not removed yet", ErrCorrupt)
+		return nil, fmt.Errorf("%w: %s tells that it was found so before, and no member has begun in its place", ErrCorrupt, dir+lostSuffix)
 	} else if !errors.Is(err, os.ErrNotExist) {
 		return nil, fmt.Errorf("logstore: opening %s: %w", dir, err)
 	}
