--- a/controlplane/lanes_test.go
+++ b/controlplane/lanes_test.go
@@ -2,7 +2,10 @@
 
 import (
 	"bytes"
+	"context"
+	"errors"
 	"math/rand/v2"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -92,8 +95,90 @@
 	}
 }
 
-// A large entry reaches a member in parts once that has said that it takes them, over
-// real sockets; one of before gets it in one call.
+// receiver takes messages as a member does, or as one of before parts.
+type receiver struct {
+	api.Control
+	before bool
+	p      parts
+	forget bool // once: it has lost what it held
+	calls  []*api.Deliver
+	whole  []byte
+}
+
+func (r *receiver) Deliver(_ context.Context, d *api.Deliver) (*api.Delivered, error) {
+	r.calls = append(r.calls, d)
+	if r.before {
+		return &api.Delivered{}, nil
+	}
+	if d.Part == nil {
+		return &api.Delivered{Parts: true}, nil
+	}
+	if r.forget && d.Part.Offset > 0 {
+		r.p, r.forget = parts{}, false
+	}
+	held, whole := r.p.put(d.Part)
+	if whole != nil {
+		r.whole = whole
+	}
+	return &api.Delivered{Parts: true, Held: held}, nil
+}
+
+// What is large goes in parts of 32 KB at most to a member that has said that it takes
+// them, and whole to one of before; a member that was started again in between has the
+// call fail, and gets all of it with the next.
+func TestWhoGetsParts(t *testing.T) {
+	t.Parallel()
+	ms := []agreement.Message{{Kind: agreement.Append, Term: 4, Entries: []agreement.Entry{{Index: 1, Term: 4, Data: bytes.Repeat([]byte("0123456789"), 10<<10)}}}}
+	want, err := cbor.Marshal(ms)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, r := range []*receiver{{}, {before: true}, {forget: true}} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		srv := api.NewServer(nil)
+		api.RegisterControl(srv, r)
+		go srv.Serve(l)
+		t.Cleanup(srv.Stop)
+		c, _, err := openMember(t, agreement.Snapshot{})
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.ctx = t.Context()
+		t.Cleanup(c.cfg.Conns.Close)
+		send := func(ms ...agreement.Message) error { return c.send(2, l.Addr().String(), ms) }
+		if err := send(agreement.Message{Kind: agreement.Append, Term: 4}); err != nil {
+			t.Fatal(err)
+		}
+		forgets := r.forget
+		if err := send(ms...); (err != nil) != forgets || forgets && !errors.Is(err, errParts) {
+			t.Errorf("%v", err)
+		}
+		if forgets {
+			if err := send(ms...); err != nil {
+				t.Error(err)
+			}
+		}
+		if r.before {
+			if len(r.calls) != 2 || len(r.calls[1].Messages) != 1 || r.calls[1].Part != nil {
+				t.Errorf("one of before gets %d calls", len(r.calls))
+			}
+			continue
+		}
+		for _, d := range r.calls {
+			if load(d.Messages) > 0 || d.Part != nil && len(d.Part.Data) > partBytes {
+				t.Errorf("a call of %d and %+v bytes", load(d.Messages), d.Part)
+			}
+		}
+		if !bytes.Equal(r.whole, want) {
+			t.Errorf("%d bytes came, %d were sent", len(r.whole), len(want))
+		}
+	}
+}
+
+// A large entry reaches the others in parts over real sockets.
 func TestLargeEntriesInParts(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t)
