--- a/controlplane/repair_test.go
+++ b/controlplane/repair_test.go
@@ -44,15 +44,16 @@
 
 // machine is one disk, and the process on it.
 type machine struct {
-	id      agreement.ID
-	addr    string
-	disk    agreement.Stored
-	node    *agreement.Node // nil: down
-	keeper  keeper
-	cut     bool
-	older   bool // doesn't understand joint changes
-	leaving bool
-	until   int // when it is killed, leaving or not
+	id       agreement.ID
+	addr     string
+	disk     agreement.Stored
+	node     *agreement.Node // nil: down
+	keeper   keeper
+	cut      bool
+	ledSince int
+	older    bool // doesn't understand joint changes
+	leaving  bool
+	until    int // when it is killed, leaving or not
 
 	back      func() // makes it whole again
 	backAt    int
@@ -164,9 +165,12 @@
 		}
 		m.node.Tick()
 		m.keeper.ticks = s.now
+		if m.node.Role() != agreement.Leader {
+			m.ledSince = s.now
+		}
 		if s.fault == "two steps" || m.older {
 			if s.now%4 == 0 {
-				twoSteps(m.node, s.wanted)
+				twoSteps(m.node, s.wanted, s.now-m.ledSince)
 			}
 		} else if _, next := m.keeper.next(m.node); next != nil {
 			m.node.Change(next)
@@ -334,8 +338,8 @@
 }
 
 // twoSteps is how voters were replaced once: by one more and, 0.2 s later, one less;
-// silent ones after 3 s.
-func twoSteps(n *agreement.Node, wanted int) {
+// silent ones after 3 s, as a leader counts them from its election on.
+func twoSteps(n *agreement.Node, wanted, ledFor int) {
 	if !n.Serves() {
 		return
 	}
@@ -343,7 +347,7 @@
 	ready, gone, voters := -1, -1, 0
 	for i, m := range ms {
 		after := slices.ContainsFunc(ms[i+1:], func(o agreement.Member) bool { return o.Addr == m.Addr })
-		switch quiet := n.Quiet(m.ID); {
+		switch quiet := min(n.Quiet(m.ID), ledFor); {
 		case m.Voter:
 			voters++
 			if after || quiet > 60 {
