--- a/agreement/model/model_test.go
+++ b/agreement/model/model_test.go
@@ -31,7 +31,8 @@
 	"old terms":       {Members: 3, Elections: 4, Candidates: 2, Beats: 1, Entries: 1, InFlight: 1},
 	"doubled pieces":  {Members: 3, Elections: 1, Beats: 2, Snapshots: 1, Pieces: 2, Doubled: 1, InFlight: 1},
 	"two snapshots":   {Members: 3, Elections: 1, Values: 1, Beats: 1, Snapshots: 2, Pieces: 2, Doubled: 1, InFlight: 1},
-	"swaps of three":  {Members: 3, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
+	"swaps of three":  {Members: 3, Elections: 1, Candidates: 2, Swaps: 1, Led: true, InFlight: 1},
+	"swaps at large":  {Members: 3, Elections: 2, Candidates: 2, Swaps: 1, InFlight: 1},
 	"rounds":          {Members: 3, Elections: 2, Candidates: 2, Beats: 2, InFlight: 2},
 }
 
