Limiters are told the last of several changes that are applied at once

The platform's list took 131 ms to be had, leases came 0.30 to 0.38 s after the leader. Up to 64 changes stand in a log: 0.9 s. Ruled out: the election (0.22 s), the platform (15 ms otherwise), limiters (11 to 20 ms). Now what is applied at once is made a table once. Who holds a version between is told the whole. Weighed: making the table when it is asked for (the first question waits), rows kept by a hash so that a change costs what changed (larger; it would spare storms 13 ms a change as well). Test: TestChangesAppliedAtOnceAreToldOnce, which finds tables of versions 1 to 19 without it.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -211,8 +211,15 @@
 				c.cfg.Log.Error("a snapshot can't be read", "err", err)
 			}
 		}
+		news := false
 		for _, e := range r.Committed {
-			c.apply(e)
+			news = c.apply(e) || news
+		}
+		if news { // of several at once, as after a start, limiters are told the last
+			if err := c.tabulate(); err != nil { // it was checked before it was proposed
+				c.cfg.Log.Error("a configuration can't be told", "revision", c.state.Revision, "err", err)
+			}
+			c.signal()
 		}
 		c.node.Advance(r)
 	}
@@ -220,19 +227,17 @@
 	c.note()
 }
 
-func (c *Core) apply(e agreement.Entry) {
+// apply carries out an entry, and tells whether it brought a configuration.
+func (c *Core) apply(e agreement.Entry) (news bool) {
 	c.logged += len(e.Data)
 	called := c.calls[e.Index] != nil
-	if c.register.apply(e) {
-		if err := c.tabulate(); err != nil { // it was checked before it was proposed
-			c.cfg.Log.Error("a configuration can't be told", "revision", c.state.Revision, "err", err)
-		}
+	if news = c.register.apply(e); news {
 		c.cfg.Log.Info("configuration taken", "revision", c.state.Revision, "index", e.Index)
-		c.signal()
 	}
 	if called {
 		c.hear()
 	}
+	return news
 }
 
 func (c *Core) compact() {
--- a/controlplane/watch_test.go
+++ b/controlplane/watch_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"math"
+	"net"
 	"net/http"
 	"testing"
 	"time"
@@ -274,3 +275,52 @@
 		t.Error("what the core says goes first")
 	}
 }
+
+// A member that starts with many changes in its log makes a table of the last alone:
+// each takes as long as the configuration is large, and nobody is answered meanwhile.
+// (Found on a day of 240 changes of 900 routes: eight of them held up the first leases
+// by 0.12 s. Fails where each change that is applied is made a table.)
+func TestChangesAppliedAtOnceAreToldOnce(t *testing.T) {
+	t.Parallel()
+	const changed = 20
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr, dir := l.Addr().String(), t.TempDir()
+	c := &cluster{t: t, addrs: []string{addr}, cores: map[string]*Core{}, stops: map[string]func(){}}
+	t.Cleanup(func() {
+		for _, stop := range c.stops {
+			stop()
+		}
+	})
+	c.start(addr, dir, l, true)
+	cl := c.client()
+	for r := range uint64(changed) {
+		if got := replace(cl, r, config(t, r+1)); got != http.StatusOK {
+			t.Fatalf("revision %d: %d", r+1, got)
+		}
+	}
+	c.stops[addr]()
+	c.until("the address is free", func() bool {
+		l, err = net.Listen("tcp", addr)
+		return err == nil
+	})
+	c.start(addr, dir, l, false)
+	k := c.cores[addr]
+	c.until("all is applied", func() bool {
+		k.mu.Lock()
+		defer k.mu.Unlock()
+		return k.state.Revision == changed
+	})
+	k.mu.Lock()
+	defer k.mu.Unlock()
+	if v := k.configs.Version(); v != changed {
+		t.Errorf("limiters are told version %d", v)
+	}
+	for r := range uint64(changed - 1) {
+		if b, err := k.configs.Since(r + 1); err != nil || b.From != 0 || b.To != changed {
+			t.Errorf("version %d was made a table: a difference from %d to %d, %v", r+1, b.From, b.To, err)
+		}
+	}
+}
