--- a/api/conns.go
+++ b/api/conns.go
@@ -9,6 +9,7 @@
 
 	"golang.org/x/sys/unix"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/connectivity"
 
 	"example.org/elmspan/keys"
 )
@@ -65,6 +66,22 @@
 	return c, nil
 }
 
+// Reaches waits for a connection to be there, for so long at most. It goes on being
+// made after that: who was not reached in time may be at the next call.
+func Reaches(ctx context.Context, c *grpc.ClientConn, within time.Duration) bool {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	for {
+		c.Connect()
+		switch s := c.GetState(); {
+		case s == connectivity.Ready:
+			return true
+		case s == connectivity.TransientFailure, s == connectivity.Shutdown, !c.WaitForStateChange(ctx, s):
+			return false
+		}
+	}
+}
+
 func (s *Conns) drop(addr string) {
 	if c := s.byAddr[addr]; c != nil {
 		c.Close()
@@ -92,6 +109,48 @@
 
 var dialer = net.Dialer{KeepAlive: -1, Control: unanswered}
 
+// dialAgain is how long an attempt to connect goes unanswered before another begins
+// beside it. What was sent to a machine that had no power is lost, and the kernel sends
+// it again only after a second, though the machine may be back a moment later.
+const dialAgain = 150 * time.Millisecond
+
+func dial(ctx context.Context, addr string) (net.Conn, error) {
+	return firstOf(ctx, func(ctx context.Context) (net.Conn, error) { return dialer.DialContext(ctx, "tcp", addr) })
+}
+
+// firstOf connects by the first of the attempts that is answered; the others end.
+func firstOf(ctx context.Context, attempt func(context.Context) (net.Conn, error)) (net.Conn, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	type end struct {
+		c   net.Conn
+		err error
+	}
+	ends, taken := make(chan end), make(chan struct{})
+	defer close(taken)
+	t := time.NewTicker(dialAgain)
+	defer t.Stop()
+	for {
+		go func() {
+			c, err := attempt(ctx)
+			select {
+			case ends <- end{c, err}:
+			case <-taken:
+				if err == nil {
+					c.Close()
+				}
+			}
+		}()
+		select {
+		case e := <-ends:
+			return e.c, e.err
+		case <-ctx.Done():
+			return nil, ctx.Err()
+		case <-t.C:
+		}
+	}
+}
+
 // internalListener gives what it accepts the same option: it is not inherited.
 type internalListener struct{ *net.TCPListener }
 
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -264,10 +264,12 @@
 		if r.Snapshot != nil && !c.restore(r.Snapshot) {
 			return
 		}
+		before, news := c.state, false
 		for _, e := range r.Committed {
-			if !c.apply(e) {
-				return // it counts as not applied: nobody is answered from before it
-			}
+			news = c.apply(e) || news
+		}
+		if news && !c.tell(before) {
+			return // they count as not applied: nobody is answered from before them
 		}
 		c.node.Advance(r)
 	}
@@ -301,24 +303,32 @@
 	return true
 }
 
-// apply carries out an entry that was agreed on; false: it can't, and is halted.
-func (c *Core) apply(e agreement.Entry) bool {
-	called, before := c.calls[e.Index] != nil, c.state
-	if c.register.apply(e) {
-		revision, rows, err := tabulate(&c.state)
-		if err != nil { // it was checked before it was proposed, by a member that could tell it
-			c.state = before
-			c.halt(fmt.Sprintf("the configuration at %d can't be told", e.Index), err)
-			return false
-		}
-		c.configs.Replace(revision, rows)
+// tell has limiters told the newest configuration after what was agreed on is applied:
+// of several at once, as after a start, the last alone. before is the state without
+// them; false: the configuration can't be told, and this member is halted.
+func (c *Core) tell(before State) bool {
+	revision, rows, err := tabulate(&c.state)
+	if err != nil { // it was checked before it was proposed, by a member that could tell it
+		revision, c.state = c.state.Revision, before
+		c.halt(fmt.Sprintf("the configuration %d can't be told", revision), err)
+		return false
+	}
+	c.configs.Replace(revision, rows)
+	c.signal()
+	return true
+}
+
+// apply carries out an entry that was agreed on, and tells whether it brought a
+// configuration.
+func (c *Core) apply(e agreement.Entry) (news bool) {
+	called := c.calls[e.Index] != nil
+	if news = c.register.apply(e); news {
 		c.cfg.Log.Info("configuration taken", "revision", c.state.Revision, "index", e.Index)
-		c.signal()
 	}
 	if called {
 		c.hear()
 	}
-	return true
+	return news
 }
 
 // compact cuts the log behind a snapshot where that is due.
