A stalled disk holds up one member's calls; orders reach leaders that do not unpack

Cause, from reading: Core.process syncs under the mutex that Watch takes, and Watch waits for it without heeding its call's end, so a disk that stalls for longer than a lease (4.5 s) could stop the limiter of that machine though others would give it a lease; and a leader of the program before answers a compressed order with Unimplemented, so that orders waited for the end of a roll. Change: calls of the core in the process end with their context, one at a time goes on behind; a call that could not be unpacked goes out again in the clear.

--- a/api/rpc.go
+++ b/api/rpc.go
@@ -10,11 +10,13 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
 	"google.golang.org/grpc/encoding/gzip"
+	"google.golang.org/grpc/status"
 
 	"example.org/elmspan/agreement"
 	"example.org/elmspan/keys"
@@ -295,7 +297,11 @@
 
 func invoke[R any](ctx context.Context, c *grpc.ClientConn, path string, q any, opts ...grpc.CallOption) (*R, error) {
 	r := new(R)
-	if err := c.Invoke(ctx, path, q, r, opts...); err != nil {
+	err := c.Invoke(ctx, path, q, r, opts...)
+	if len(opts) > 0 && status.Code(err) == codes.Unimplemented { // a program from before that can't unpack: it has read nothing
+		err = c.Invoke(ctx, path, q, r)
+	}
+	if err != nil {
 		return nil, err
 	}
 	return r, nil
--- /dev/null
+++ b/process/local_test.go
@@ -0,0 +1,51 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"sync/atomic"
+	"testing"
+
+	"example.org/elmspan/api"
+)
+
+// A core that waits for its disk holds up nobody beyond the end of their call, and at
+// most one call goes on behind it; once the disk is back it is asked again.
+func TestStalledCoreHoldsNobodyUp(t *testing.T) {
+	t.Parallel()
+	var busy atomic.Bool
+	stalled, entered, calls := make(chan struct{}), make(chan struct{}, 8), atomic.Int32{}
+	core := func(context.Context, *api.Watch) (*api.News, error) { // as one that waits for a mutex does, it heeds no context
+		calls.Add(1)
+		entered <- struct{}{}
+		<-stalled
+		return &api.News{Lease: true}, nil
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() {
+		<-entered
+		cancel()
+	}()
+	if _, err := callLocal(ctx, &busy, &api.Watch{}, core); !errors.Is(err, context.Canceled) {
+		t.Fatalf("a call that is over: %v", err)
+	}
+	for range 3 {
+		if _, err := callLocal(t.Context(), &busy, &api.Watch{}, core); !errors.Is(err, errLocalBusy) {
+			t.Fatalf("a second call beside one that is not answered: %v", err)
+		}
+	}
+	if n := calls.Load(); n != 1 {
+		t.Errorf("%d calls at once", n)
+	}
+	close(stalled)
+	for {
+		n, err := callLocal(t.Context(), &busy, &api.Watch{}, core)
+		if errors.Is(err, errLocalBusy) {
+			continue // the first one is about to end
+		}
+		if err != nil || !n.Lease {
+			t.Fatalf("once the disk is back: %+v, %v", n, err)
+		}
+		return
+	}
+}
--- a/process/news.go
+++ b/process/news.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -56,7 +58,8 @@
 // whom returns the member to ask, and its address; "" is the core in this process.
 func (p *Process) whom() (m member, addr string, ok bool) {
 	if p.core != nil && !p.coreFailed {
-		return member{nil, p.core.Watch, p.core.Fetch}, "", true
+		return member{nil, func(ctx context.Context, q *api.Watch) (*api.News, error) { return callLocal(ctx, &p.localCall, q, p.core.Watch) },
+			func(ctx context.Context, q *api.Fetch) (*api.Piece, error) { return callLocal(ctx, &p.localCall, q, p.core.Fetch) }}, "", true
 	}
 	if addr = p.client.Helper(); addr == "" {
 		return m, "", false
@@ -70,6 +73,33 @@
 		func(ctx context.Context, q *api.Fetch) (*api.Piece, error) { return api.CallFetch(ctx, conn, q) }}, addr, true
 }
 
+var errLocalBusy = errors.New("process: the core here has not answered an earlier call yet")
+
+// callLocal calls the core in this process and waits until the context ends, at most:
+// the core may be waiting for its disk, and the others of the core answer meanwhile. At
+// most one call goes on behind its end.
+func callLocal[Q, R any](ctx context.Context, busy *atomic.Bool, q *Q, call func(context.Context, *Q) (*R, error)) (*R, error) {
+	if !busy.CompareAndSwap(false, true) {
+		return nil, errLocalBusy
+	}
+	type answer struct {
+		r   *R
+		err error
+	}
+	ch := make(chan answer, 1)
+	go func() {
+		r, err := call(ctx, q)
+		busy.Store(false)
+		ch <- answer{r, err}
+	}()
+	select {
+	case a := <-ch:
+		return a.r, a.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
 // passOver has another member asked next.
 func (p *Process) passOver(addr string) {
 	p.coreFailed = addr == "" && p.core != nil // the core in this process is tried every other time
--- a/process/process.go
+++ b/process/process.go
@@ -81,6 +81,8 @@
 	// Of the goroutine that watches:
 	whole      [2]bool // tables of which the whole is asked for
 	coreFailed bool    // the core in this process could not answer
+
+	localCall atomic.Bool // the core in this process is at work on a call
 }
 
 // New opens what the settings ask for.
