--- a/api/rpc.go
+++ b/api/rpc.go
@@ -10,8 +10,8 @@
 
 	"github.com/fxamacker/cbor/v2"
 	"google.golang.org/grpc"
-	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials"
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/encoding"
--- a/process/news.go
+++ b/process/news.go
@@ -58,8 +58,12 @@
 // whom returns the member to ask, and its address; "" is the core in this process.
 func (p *Process) whom() (m member, addr string, ok bool) {
 	if p.core != nil && !p.coreFailed {
-		return member{nil, func(ctx context.Context, q *api.Watch) (*api.News, error) { return callLocal(ctx, &p.localCall, q, p.core.Watch) },
-			func(ctx context.Context, q *api.Fetch) (*api.Piece, error) { return callLocal(ctx, &p.localCall, q, p.core.Fetch) }}, "", true
+		return member{nil, func(ctx context.Context, q *api.Watch) (*api.News, error) {
+			return callLocal(ctx, &p.localCall, q, p.core.Watch)
+		},
+			func(ctx context.Context, q *api.Fetch) (*api.Piece, error) {
+				return callLocal(ctx, &p.localCall, q, p.core.Fetch)
+			}}, "", true
 	}
 	if addr = p.client.Helper(); addr == "" {
 		return m, "", false
