--- a/controlplane/history_test.go
+++ b/controlplane/history_test.go
@@ -49,11 +49,9 @@
 
 // shape is what is in a world.
 type shape struct {
-	clients int
-	machines,
-	steps int
-	losses     bool // disks too are lost, members replaced, logs cut short, links slow
-	remembered int  // versions, for orders sent again
+	clients, machines, steps int
+	losses                   bool // disks too are lost, members replaced, logs cut short, links slow
+	remembered               int  // versions, for orders sent again
 }
 
 // The worlds: small ones for the checker of linearizability, and ones at size, of
