Clients: no last answer reset away, no chunks to HTTP/1.0, HEAD's length as its server says

Cause, each by a test that failed first (dataplane/client_test.go): the connection was closed at once after its last answer, so that bytes still under way reset it (the lingering close that end() speaks of was never waited for); an HTTP/1.0 client was sent chunks, and could not see a broken one; HEAD was answered Content-Length: 0. Change: after the last answer what comes is read past for 0.5 s at most, or until the client has closed; HTTP/1.0 gets the body up to the connection's end, a reset where it breaks off. Also tested, and held before: four requests behind each other whose first is slow, refused, failed, gone or cut off; six clients at once that reset, half-close and pipeline before servers that do everything (answers, ledger).

--- a/dataplane/answer.go
+++ b/dataplane/answer.go
@@ -33,7 +33,7 @@
 	from   *h1.Head // a server's
 	body   []byte   // as far as it was read
 	rest   *h1.Body // what follows, where it was not read whole
-	length int64    // of all; h1.Chunks where it isn't known
+	length int64    // of all; h1.Chunks where it isn't known, h1.TillEnds where nothing is said of it
 	free   func(whole bool)
 }
 
@@ -45,6 +45,12 @@
 	}
 }
 
+// unsized tells whether the answer's body ends with the connection, as its client knows
+// no chunks (RFC 9112, 6.1).
+func (a *answer) unsized(req *h1.Head) bool {
+	return req != nil && req.Old && a.from != nil && a.length == h1.Chunks
+}
+
 var heads = sync.Pool{New: func() any { return new(bytes.Buffer) }}
 
 var copies = sync.Pool{New: func() any { b := make([]byte, copyBuffer); return &b }}
@@ -85,12 +91,15 @@
 	if a.closes {
 		field(b, "Connection", "close")
 	}
+	if a.unsized(req) {
+		length = h1.TillEnds
+	}
 	none := a.status == 204 || a.status == 304
 	switch {
 	case none:
 	case length >= 0:
 		field(b, "Content-Length", strconv.FormatInt(length, 10))
-	default:
+	case length == h1.Chunks:
 		field(b, "Transfer-Encoding", "chunked")
 	}
 	b.WriteString("\r\n")
@@ -99,7 +108,8 @@
 		_, err := w.Write(b.Bytes())
 		return err
 	}
-	if length < 0 {
+	chunked := length == h1.Chunks
+	if chunked {
 		if len(body) > 0 {
 			fmt.Fprintf(b, "%x\r\n", len(body))
 			b.Write(body)
@@ -108,19 +118,19 @@
 	} else {
 		b.Write(body)
 	}
-	if a.rest == nil && length < 0 {
+	if a.rest == nil && chunked {
 		b.WriteString("0\r\n\r\n")
 	}
 	l.Count(b.Len())
 	if _, err := w.Write(b.Bytes()); err != nil || a.rest == nil {
 		return err
 	}
-	return a.copyRest(w, length, l)
+	return a.copyRest(w, chunked, l)
 }
 
 // copyRest writes what was not read whole, a quantum at a time, each when it is
 // this body's turn on the link.
-func (a *answer) copyRest(w io.Writer, length int64, l *link.Link) error {
+func (a *answer) copyRest(w io.Writer, chunked bool, l *link.Link) error {
 	p := copies.Get().(*[]byte)
 	defer copies.Put(p)
 	const room = 8 // for a chunk's size
@@ -135,7 +145,7 @@
 				return err
 			}
 			out := buf[room : room+n]
-			if length < 0 {
+			if chunked {
 				size := strconv.AppendInt(nil, int64(n), 16)
 				at := room - len(size) - 2
 				copy(buf[at:], size)
@@ -147,7 +157,7 @@
 			}
 		}
 		if a.rest.Done() {
-			if length < 0 {
+			if chunked {
 				_, err = io.WriteString(w, "0\r\n\r\n")
 				return err
 			}
--- /dev/null
+++ b/dataplane/client_test.go
@@ -0,0 +1,269 @@
+package dataplane
+
+import (
+	"bufio"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"example.org/elmspan/dataplane/attempt"
+	"example.org/elmspan/dataplane/h1"
+	"example.org/elmspan/settings"
+)
+
+// The last answer on a connection is not lost to a reset because its client was still
+// sending: what comes is read past until the client has closed, or for a moment.
+func TestLastAnswerIsNotResetAway(t *testing.T) {
+	t.Parallel()
+	g := newGateway(t, newBackend(t, good("yes")))
+	g.linger = patience
+	c := dial(t, g)
+	c.send("POST /once/", "Content-Length: 9999999\r\n", strings.Repeat("b", 64<<10))
+	if h := c.want(413, ""); !h.Closes() {
+		t.Errorf("%+v does not say that the connection closes", h)
+	}
+	if _, err := c.in.ReadByte(); err != io.EOF {
+		t.Errorf("the connection ends with %v", err)
+	}
+	for range 8 {
+		if _, err := io.WriteString(c, strings.Repeat("b", 64<<10)); err != nil {
+			t.Fatalf("sending on meets %v", err)
+		}
+	}
+	c.Close()
+	untilGone(t, g)
+}
+
+// A client of HTTP/1.0 knows no chunks: it gets the body as it is, up to the end of the
+// connection, which is a reset where the body breaks off.
+func TestOldClients(t *testing.T) {
+	t.Parallel()
+	const body = "in two chunks"
+	b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n3\r\n%s\r\n%x\r\n%s\r\n", body[:3], len(body)-3, body[3:])
+		if h.Target == "/get/cut" {
+			return false
+		}
+		io.WriteString(w, "0\r\n\r\n")
+		return true
+	})
+	g := newGatewayOf(t, settings.Timing{GraceS: 3}, b)
+	for target, breaks := range map[string]bool{"/get/whole": false, "/get/cut": true} {
+		c := dial(t, g)
+		fmt.Fprintf(c, "GET %s HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\nConnection: keep-alive\r\n\r\n", target)
+		h, err := h1.ReadAnswer(c.in, 1<<16)
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(c.in)
+		if h.Get("Transfer-Encoding") != "" || !h.Closes() || !strings.HasPrefix(body, string(got)) || !breaks && (err != nil || string(got) != body) || breaks && !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("%s: %+v %q, %v", target, h, got, err)
+		}
+	}
+}
+
+// An answer to HEAD says of the body what its server says, and has none.
+func TestHeadSaysWhatGetWouldHave(t *testing.T) {
+	t.Parallel()
+	b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+		framing := map[string]string{"/get/sized": "Content-Length: 123456\r\n", "/get/chunked": "Transfer-Encoding: chunked\r\n", "/get/unsaid": ""}[h.Target]
+		fmt.Fprintf(w, "HTTP/1.1 404 x\r\nAttempt-Id: a1\r\n%s\r\n", framing)
+		return true
+	})
+	c := dial(t, newGateway(t, b))
+	for target, want := range map[string][2]string{"/get/sized": {"123456", ""}, "/get/chunked": {"", "chunked"}, "/get/unsaid": {"", ""}} {
+		c.send("HEAD "+target, "", "")
+		h, err := h1.ReadAnswer(c.in, 1<<16)
+		if err != nil || h.Status != 404 || h.Get("Content-Length") != want[0] || h.Get("Transfer-Encoding") != want[1] {
+			t.Errorf("%s: %+v, %v; want %v", target, h, err, want)
+		}
+	}
+}
+
+// Requests sent behind each other are answered in their order, each with its own id,
+// whether the first is slow, refused or fails; where it breaks off, nothing follows.
+func TestPipelinedBehindTrouble(t *testing.T) {
+	t.Parallel()
+	for _, first := range []string{"slow", "refused", "failed", "gone", "cut"} {
+		others := make(chan struct{})
+		var done atomic.Int64
+		b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+			id := h.Get("Attempt-Id")
+			if id == "0" {
+				<-others // the others were answered before
+				switch first {
+				case "refused":
+					fmt.Fprint(w, answerHead("503 x", id, "Not-Executed: full\r\n"+sized(0)))
+					return true
+				case "failed":
+					fmt.Fprint(w, answerHead("500 x", id, sized(4)), "fail")
+					return true
+				case "gone":
+					return false
+				case "cut":
+					fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(2*holdAnswer)), "cut")
+					return false
+				}
+			}
+			fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(len(ownBody(id)))), ownBody(id))
+			if done.Add(1) == 3 {
+				close(others)
+			}
+			return true
+		})
+		c := dial(t, newGateway(t, b))
+		var all strings.Builder
+		for id := range 4 {
+			fmt.Fprintf(&all, "GET /open/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: %d\r\n\r\n", id)
+		}
+		io.WriteString(c, all.String())
+		for id := range 4 {
+			h, got, err := c.answer()
+			if first == "cut" {
+				if err == nil || id > 0 {
+					t.Errorf("cut: the answer %d is %+v, %v", id, h, err)
+				}
+				break
+			}
+			want := 200
+			if id == 0 {
+				want = map[string]int{"slow": 200, "refused": 503, "failed": 500, "gone": 502}[first]
+			}
+			if err != nil || h.Status != want || h.Get("Attempt-Id") != fmt.Sprint(id) || want == 200 && got != ownBody(fmt.Sprint(id)) {
+				t.Errorf("%s: the answer %d is %+v %q, %v; want %d", first, id, h, got, err, want)
+			}
+		}
+	}
+}
+
+// Many clients at once, some of whom reset their connection in the middle or close half
+// of it, before servers that do everything: each answer is to its own request, each
+// filing runs once at most, and what is refused has not run.
+func TestNothingCrossesBetweenClients(t *testing.T) {
+	t.Parallel()
+	const clients, rounds = 6, 60
+	s := newStage(t, attempt.Standard())
+	s.renew()
+	var mu sync.Mutex
+	broken := func(format string, args ...any) {
+		mu.Lock()
+		defer mu.Unlock()
+		s.broken(format, args...)
+	}
+	var wg sync.WaitGroup
+	var refused sync.Map // scripts of what was refused
+	var answers atomic.Int64
+	for n := range clients {
+		wg.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(n), 1))
+			for round := range rounds {
+				if n == 0 && round%10 == 9 {
+					mu.Lock()
+					s.renew()
+					mu.Unlock()
+				}
+				nc, err := net.Dial("tcp", s.g.front.Addr().String())
+				if err != nil {
+					broken("%v", err)
+					return
+				}
+				c := &client{t, nc, nil}
+				c.SetDeadline(time.Now().Add(patience))
+				s.talk(c, fmt.Sprintf("c%d-%d", n, round), rng, broken, &refused, &answers)
+				nc.Close()
+			}
+		})
+	}
+	wg.Wait()
+	if s.fault != "" {
+		t.Error(s.fault)
+	}
+	s.scripts.Range(func(id, sc any) bool {
+		if runs := sc.(*script).runs.Load(); runs > 1 && strings.HasSuffix(id.(string), "-once") {
+			t.Errorf("%v ran %d times", id, runs)
+		}
+		return true
+	})
+	refused.Range(func(id, status any) bool {
+		sc, _ := s.scripts.Load(id)
+		if sc.(*script).runs.Load() > 0 {
+			t.Errorf("%v is answered %v, but it ran", id, status)
+		}
+		return true
+	})
+	if answers.Load() < clients*rounds/2 {
+		t.Errorf("only %d answers came", answers.Load())
+	}
+}
+
+// talk sends up to four requests behind each other on one connection and reads their
+// answers, unless it goes away.
+func (s *stage) talk(c *client, name string, rng *rand.Rand, broken func(string, ...any), refused *sync.Map, answers *atomic.Int64) {
+	var all strings.Builder
+	var ids []string
+	breaks := false
+	for i := range 1 + rng.IntN(4) {
+		sc := &script{}
+		for k := range sc.moves {
+			if sc.moves[k] = &moves[rng.IntN(len(moves))]; rng.IntN(2) == 0 {
+				sc.moves[k] = &fine
+			}
+			breaks = breaks || sc.moves[k].breaks
+		}
+		id, line := fmt.Sprintf("%s-%d-get", name, i), "GET /get/ HTTP/1.1\r\n"
+		body := ""
+		if rng.IntN(3) == 0 {
+			id, line, body = fmt.Sprintf("%s-%d-once", name, i), "POST /once/ HTTP/1.1\r\nContent-Length: 4\r\n", "body"
+		}
+		s.scripts.Store(id, sc)
+		ids = append(ids, id)
+		fmt.Fprintf(&all, "%sHost: h\r\nAttempt-Id: %s\r\nAuthorization: Token k\r\nTime-Budget-Ms: 300\r\n\r\n%s", line, id, body)
+	}
+	c.in = readers.New().(*bufio.Reader)
+	c.in.Reset(c.Conn)
+	io.WriteString(c, all.String())
+	switch rng.IntN(5) {
+	case 0: // goes away in the middle
+		c.Conn.(*net.TCPConn).SetLinger(0)
+		if rng.IntN(2) == 0 {
+			c.in.ReadByte()
+		}
+		return
+	case 1:
+		c.Conn.(*net.TCPConn).CloseWrite()
+	}
+	for _, id := range ids {
+		h, got, err := c.answer()
+		if h == nil || err != nil {
+			if !breaks {
+				broken("%s: %v", id, err)
+			}
+			return
+		}
+		answers.Add(1)
+		own := got == ownBody(id) || got == longBody(id) || h.Status == 204
+		switch {
+		case h.Get("Attempt-Id") != id:
+			broken("the answer to %s is that to %s", id, h.Get("Attempt-Id"))
+		case h.Status/100 == 2 && (!own || h.Get("Server-Seal") != "seal-"+id):
+			broken("%s: %+v with %.60q", id, h, got)
+		case h.Get("Failed") != "" && got != "fail:"+id && !own:
+			broken("%s: %d with %.60q", id, h.Status, got)
+		case strings.Contains(got, secret):
+			broken("%s: someone else's bytes", id)
+		case h.Status == 503 || h.Status == 429 || h.Status == 408 || h.Status == 421:
+			refused.Store(id, h.Status)
+		}
+		if h.Closes() {
+			return
+		}
+	}
+}
--- a/dataplane/flight.go
+++ b/dataplane/flight.go
@@ -114,7 +114,11 @@
 	if f.r.route.Type == api.Download {
 		g := f.g
 		g.mu.Lock()
-		f.course.Head(inMs(g.now()), a.length)
+		length := a.length
+		if f.r.head.Method == "HEAD" { // which has no body
+			length = 0
+		}
+		f.course.Head(inMs(g.now()), length)
 		g.berths()
 		g.mu.Unlock()
 	}
--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -177,6 +177,9 @@
 			return g.outcome(e, nil)
 		case body.Done():
 			a.length = int64(len(a.body))
+			if e.NoBody { // what GET would have is told all the same
+				a.length, _ = head.AnswerBody("GET")
+			}
 			e.Seen, e.Behind = attempt.Answered, c.In.Buffered()
 			o := g.outcome(e, a)
 			o.keep = g.rules.Reusable(e)
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -20,6 +20,7 @@
 	holdBody     = 64 << 10 // bodies up to this are held, so that another server can get them
 	writeFor     = 10 * time.Second
 	minBudget    = time.Millisecond
+	lingerFor    = 500 * time.Millisecond
 	// unleasedAdvice is when to come back to a limiter that has no word of the core:
 	// on the ordinary path that takes no longer.
 	unleasedAdvice = 200 * time.Millisecond
@@ -40,6 +41,7 @@
 	seq     int // requests read
 	waiting bool
 	closing bool // an answer says that the connection closes
+	ending  bool // the last answer was written whole
 }
 
 // request is one try of a client, as read.
@@ -93,6 +95,10 @@
 		answers.Wait()
 		c.in.Reset(nil)
 		readers.Put(c.in)
+		if c.ending {
+			c.nc.SetReadDeadline(time.Now().Add(c.g.linger))
+			io.Copy(io.Discard, c.nc)
+		}
 		c.nc.Close()
 		c.g.mu.Lock()
 		delete(c.g.conns, c)
@@ -108,7 +114,9 @@
 			var e *h1.Error
 			if errors.As(err, &e) {
 				c.g.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "err", err)
-				c.write(&answer{status: e.Status, why: e.Why, closes: true}, nil)
+				if c.write(&answer{status: e.Status, why: e.Why, closes: true}, nil) == nil {
+					c.end()
+				}
 			}
 			return
 		}
@@ -166,6 +174,9 @@
 	}
 	if c.in.Buffered() == 0 {
 		c.mu.Lock()
+		if c.closing {
+			wait = c.g.linger
+		}
 		c.nc.SetReadDeadline(time.Now().Add(wait))
 		c.waiting = true
 		c.mu.Unlock()
@@ -300,7 +311,7 @@
 	case c.closing: // one before has ended the connection
 		c.mu.Unlock()
 		return true
-	case r.head.Closes(), r.stream != nil && !r.stream.Done():
+	case r.head.Closes(), a.unsized(r.head), r.stream != nil && !r.stream.Done():
 		a.closes = true
 	case c.g.draining.Load() && seq == c.seq: // nothing was read behind it
 		a.closes = true
@@ -311,21 +322,30 @@
 		c.mu.Lock()
 		c.closing = true
 		c.mu.Unlock()
-		c.end(err == nil)
+		switch t, ok := c.nc.(*net.TCPConn); {
+		case err == nil:
+			c.end()
+		case ok && a.unsized(r.head): // only a reset tells that it is not whole
+			t.SetLinger(0)
+			fallthrough
+		default:
+			c.nc.Close()
+		}
 		return true
 	}
 	return false
 }
 
-// end closes the connection after its last answer. What the client still sends
-// must not make the system reset it before the answer is read.
-func (c *clientConn) end(whole bool) {
-	if t, ok := c.nc.(*net.TCPConn); ok && whole {
+// end ends the connection after its last answer. What the client still sends must not
+// make the system reset it before that is read (RFC 9112, 9.6): see serve.
+func (c *clientConn) end() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.ending = true
+	if t, ok := c.nc.(*net.TCPConn); ok {
 		t.CloseWrite()
-		c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
-		return
 	}
-	c.nc.Close()
+	c.nc.SetReadDeadline(time.Now().Add(c.g.linger))
 }
 
 // write writes an answer.
