Long answers have their request's time; a refusal does not wait for a body that may not come

Who sends Expect: 100-continue and is refused was told 0.5 s late, as its body was waited for. Change: the later of the two times; such a refusal goes out at once and closes the connection.

--- a/dataplane/client_test.go
+++ b/dataplane/client_test.go
@@ -267,3 +267,29 @@
 		}
 	}
 }
+
+// A long answer may take as long as its request: it is not cut off because it takes
+// longer than a short one may.
+func TestLongAnswersHaveTheirTime(t *testing.T) {
+	t.Parallel()
+	long := strings.Repeat("x", 2*holdAnswer)
+	g := newGateway(t, newBackend(t, good(long)))
+	g.writeFor = 0
+	c := dial(t, g)
+	c.send("GET /get/", "", "")
+	c.want(200, long)
+}
+
+// Who asks before it sends a body, and is turned away, is told so at once: the body may
+// never come.
+func TestTurnedAwayBeforeTheBody(t *testing.T) {
+	t.Parallel()
+	g := newGateway(t, newBackend(t, good("yes")))
+	g.linger = 2 * patience
+	c := dial(t, g)
+	c.send("POST /none/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
+	if h := c.want(404, ""); !h.Closes() {
+		t.Errorf("%+v: whether a body follows can't be told", h)
+	}
+	c.Close()
+}
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -114,7 +114,7 @@
 			var e *h1.Error
 			if errors.As(err, &e) {
 				c.g.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "err", err)
-				if c.write(&answer{status: e.Status, why: e.Why, closes: true}, nil) == nil {
+				if c.write(&answer{status: e.Status, why: e.Why, closes: true}, nil, time.Now().Add(c.g.writeFor)) == nil {
 					c.end()
 				}
 			}
@@ -286,8 +286,12 @@
 // skip reads past the body of a request that is turned away, if it is short:
 // the connection can go on then.
 func (c *clientConn) skip(r *request, framing int64, a *answer) (*request, *answer) {
-	if framing != 0 {
-		c.nc.SetReadDeadline(time.Now().Add(500 * time.Millisecond))
+	switch {
+	case framing == 0:
+	case r.head.Has("Expect", "100-continue") && c.in.Buffered() == 0: // it may never come
+		a.closes = true
+	default:
+		c.nc.SetReadDeadline(time.Now().Add(c.g.linger))
 		n, err := io.Copy(io.Discard, io.LimitReader(h1.NewBody(c.in, framing), holdBody+1))
 		a.closes = a.closes || err != nil || n > holdBody
 	}
@@ -318,7 +322,11 @@
 	}
 	c.closing = a.closes
 	c.mu.Unlock()
-	if err := c.write(a, r.head); err != nil || a.closes {
+	until := time.Now().Add(c.g.writeFor)
+	if a.rest != nil && r.deadline.After(until) {
+		until = r.deadline
+	}
+	if err := c.write(a, r.head, until); err != nil || a.closes {
 		c.mu.Lock()
 		c.closing = true
 		c.mu.Unlock()
@@ -348,8 +356,8 @@
 	c.nc.SetReadDeadline(time.Now().Add(c.g.linger))
 }
 
-// write writes an answer.
-func (c *clientConn) write(a *answer, req *h1.Head) error {
-	c.nc.SetWriteDeadline(time.Now().Add(writeFor))
+// write writes an answer, until some time.
+func (c *clientConn) write(a *answer, req *h1.Head, until time.Time) error {
+	c.nc.SetWriteDeadline(until)
 	return a.writeTo(c.nc, req, c.g.link)
 }
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -65,7 +65,8 @@
 	rules    attempt.Rules
 	lease    time.Duration // how long a grant holds; 0: none is needed
 	open     time.Duration // how long connections are taken after SIGTERM
-	linger   time.Duration // how long a client may take to close after its last answer
+	linger   time.Duration // how long what a client still sends is read past
+	writeFor time.Duration // how long a client may take to be sent an answer
 
 	view     atomic.Pointer[view]
 	leaseTo  atomic.Int64 // time since start, in ns, until which keyed requests are served
@@ -96,7 +97,7 @@
 	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, stranger: o.Stranger, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
 		rules: attempt.Standard(),
 		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
-		conns: map[*clientConn]struct{}{}, waiting: map[*limiter.Flight]chan struct{}{}, open: listenersClose, linger: lingerFor}
+		conns: map[*clientConn]struct{}{}, waiting: map[*limiter.Flight]chan struct{}{}, open: listenersClose, linger: lingerFor, writeFor: writeFor}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
 		fds = defaultFDs
