Heads that only announce an answer are bounded in number

Cause: each was bounded by its length, all together only by the request's time, at the full speed of a server that has lost its way. Result: h1.TestInterimAnswers.

--- a/dataplane/h1/h1_test.go
+++ b/dataplane/h1/h1_test.go
@@ -160,3 +160,14 @@
 		}
 	})
 }
+
+// Heads that announce an answer are passed over, but not without end.
+func TestInterimAnswers(t *testing.T) {
+	const interim, final = "HTTP/1.1 103 x\r\n\r\n", "HTTP/1.1 200 OK\r\n\r\n"
+	for n, want := range map[int]int{0: 200, mostInterim: 200, mostInterim + 1: 0} {
+		h, err := ReadAnswer(bufio.NewReader(strings.NewReader(strings.Repeat(interim, n)+final)), 100)
+		if want == 0 && err == nil || want != 0 && (err != nil || h.Status != want) {
+			t.Errorf("%d before: %+v, %v", n, h, err)
+		}
+	}
+}
--- a/dataplane/h1/head.go
+++ b/dataplane/h1/head.go
@@ -118,9 +118,16 @@
 	return h, nil
 }
 
+// mostInterim is how many heads may announce an answer: each would be bounded, but not
+// all together.
+const mostInterim = 8
+
 // ReadAnswer reads the head of an answer, passing over those that only announce it.
 func ReadAnswer(r *bufio.Reader, most int) (*Head, error) {
-	for {
+	for interim := 0; ; interim++ {
+		if interim > mostInterim {
+			return nil, bad("more than %d heads announce an answer", mostInterim)
+		}
 		text, err := readLines(r, most, errors.New("the answer's head is too long"))
 		if err != nil {
 			return nil, err
