No 100 Continue to a client of HTTP/1.0

Cause: it knows no interim answers and would take one for its own (RFC 9110, 15.2). Result: dataplane.TestOldClientsGetNoInterimAnswer, 10 of 10 failed before, none of 10 after.

--- a/dataplane/client_test.go
+++ b/dataplane/client_test.go
@@ -70,6 +70,20 @@
 	}
 }
 
+// Nor does it know answers that only announce another: one would be taken for its own
+// (RFC 9110, 15.2).
+func TestOldClientsGetNoInterimAnswer(t *testing.T) {
+	t.Parallel()
+	g := newGatewayOf(t, settings.Timing{GraceS: 3}, newBackend(t, good("yes")))
+	c := dial(t, g)
+	fmt.Fprint(c, "POST /once/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+	untilRead(t, g, 1)
+	io.WriteString(c, "body")
+	if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 200 OK\r\n" {
+		t.Errorf("%q, %v", line, err)
+	}
+}
+
 // An answer to HEAD says of the body what its server says, and has none.
 func TestHeadSaysWhatGetWouldHave(t *testing.T) {
 	t.Parallel()
--- a/dataplane/front.go
+++ b/dataplane/front.go
@@ -253,7 +253,7 @@
 	if framing > v.maxBody {
 		return refuse(413, "the body is too long")
 	}
-	if head.Has("Expect", "100-continue") && c.in.Buffered() == 0 {
+	if head.Has("Expect", "100-continue") && !head.Old && c.in.Buffered() == 0 {
 		<-turn // never in the middle of an answer before
 		io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n")
 	}
