--- a/dataplane/crossing_test.go
+++ b/dataplane/crossing_test.go
@@ -17,7 +17,7 @@
 
 // A server's failure that breaks off is not passed on as if it were whole, and takes
 // nothing of the answer behind it: the client's next answer is its own from its first
-// byte. One that is whole goes back whole, however long. (docs/incidents/0010)
+// byte. One that is whole goes back whole, however long.
 func TestFailuresThatBreakOff(t *testing.T) {
 	t.Parallel()
 	long := strings.Repeat("0123456789abcdef", 4000) // more than is held
@@ -81,7 +81,7 @@
 }
 
 // A try that is given up just after its answer came closes no connection that the pool
-// has taken back: whoever takes it next may have sent a filing on it. (docs/incidents/0011)
+// has taken back: whoever takes it next may have sent a filing on it.
 func TestGivingUpClosesNoOnesElse(t *testing.T) {
 	t.Parallel()
 	g := newGateway(t, newBackend(t, good("own")))
--- a/dataplane/model_test.go
+++ b/dataplane/model_test.go
@@ -503,3 +503,38 @@
 		})
 	}
 }
+
+// Of two servers that have a request at once, the slower one's answer is nobody's: it
+// comes on a connection that is closed by then, and the next requests get their own.
+func TestLateAnswerOfTheSlowerOne(t *testing.T) {
+	t.Parallel()
+	s := newStage(t, attempt.Standard())
+	s.renew()
+	for range 10 { // what is usual is learnt
+		s.warm()
+	}
+	answered, late := make(chan struct{}), make(chan error, 1)
+	slow := move{name: "answers late", runs: true, do: func(a *asked) bool {
+		<-answered
+		a.say(strings.ReplaceAll(a.whole(), "own:", secret))
+		_, err := a.in.ReadByte() // the connection has ended, whatever was sent on it
+		late <- err
+		return false
+	}}
+	status, sc := s.ask("get", &slow, &fine)
+	close(answered)
+	if status != 200 || sc.arrivals.Load() != 2 {
+		t.Fatalf("answered %d, %d servers had it", status, sc.arrivals.Load())
+	}
+	if err := <-late; err == nil {
+		t.Error("the connection of the slower one goes on")
+	}
+	for range 10 {
+		if status, sc := s.ask("once", &fine, &fine); status != 200 || sc.runs.Load() != 1 {
+			t.Errorf("the next one is answered %d, ran %d times", status, sc.runs.Load())
+		}
+	}
+	if s.fault != "" {
+		t.Error(s.fault)
+	}
+}
