--- a/coreload/coreload_test.go
+++ b/coreload/coreload_test.go
@@ -82,3 +82,55 @@
 		}
 	}
 }
+
+// A small core loses watchers and members, and the report tells leader and followers
+// apart: all phases are there, all watchers serve again after each.
+func TestPhasesOfLoss(t *testing.T) {
+	t.Setenv(gatewayEnv, "1")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec := Spec{Limiters: 5, Routes: 50, Servers: 60, Tenants: 20, Services: 4, Members: 3, Changes: 1, LinkMbps: 100, Rest: 100 * time.Millisecond, Herd: true, Restarts: true, Seed: 1}
+	r, err := Run(t.Context(), spec, []string{self}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, p := range r.Phases {
+		names = append(names, p.Name)
+		if len(p.Used) != spec.Members {
+			t.Errorf("%s: %d processes", p.Name, len(p.Used))
+		}
+		if p.Name == "herd" || p.Name == "power" {
+			if len(p.Takeover) != 1 || p.News == 0 || p.Asks < int64(spec.Limiters) {
+				t.Errorf("%s: %+v", p.Name, p)
+			}
+		}
+	}
+	if got := strings.Join(names, " "); got != "start rest changes herd follower leader power" {
+		t.Error(got)
+	}
+	if c := r.Phases[2]; len(c.Acknowledged) != 1 || c.Used[c.Leader].Written == 0 {
+		t.Errorf("changes: %+v", c)
+	}
+}
+
+// What a gateway adds is measured on requests that were served.
+func TestAddedIsMeasured(t *testing.T) {
+	t.Setenv(gatewayEnv, "1")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Added(t.Context(), AddedSpec{Routes: 20, Tenants: 10, Servers: 30, PerS: 200, Seconds: 1, Bytes: 100, Seed: 1}, []string{self}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Asked < 20 || 10*r.Refused > r.Asked || r.Through[0] <= r.Straight[0] || r.Through[1] < r.Through[0] {
+		t.Errorf("%+v", r)
+	}
+	if _, err := Added(t.Context(), AddedSpec{Routes: 1, Tenants: 1, Servers: 1}, []string{self}, t.TempDir()); err == nil {
+		t.Error("no requests a second were taken")
+	}
+}
--- a/scenario/scenario_test.go
+++ b/scenario/scenario_test.go
@@ -24,3 +24,29 @@
 		}
 	}
 }
+
+// What stands for many is divided: servers, requests and shares stay the same in all.
+func TestCopiesDivide(t *testing.T) {
+	d := Day{Services: []Service{{Name: "s", Servers: 10, Slots: 1, Copies: 3}, {Name: "o", Servers: 4, Slots: 1}},
+		Classes: []Class{{Name: "c", Service: "s", PerS: 30}, {Name: "p", Service: "o", PerS: 5}},
+		Tenants: []Tenant{{Name: "t", Share: 8, Copies: 4}, {Name: "u", Share: 1}}}
+	perS, shares := d.PerS(), d.Shares()
+	if err := d.copies(); err != nil {
+		t.Fatal(err)
+	}
+	servers := 0
+	for _, s := range d.Services {
+		servers += s.Servers
+	}
+	if servers != 14 || len(d.Services) != 4 || len(d.Classes) != 4 || len(d.Tenants) != 5 || d.PerS() != perS || d.Shares() != shares {
+		t.Errorf("%d servers: %+v", servers, d)
+	}
+	if d.Classes[0].Service != "s-1" || d.Classes[3].Name != "p" || d.Tenant("t-4") == nil {
+		t.Errorf("names: %+v %+v", d.Classes, d.Tenants)
+	}
+	for _, bad := range []Day{{Services: []Service{{Name: "s", Servers: 1, Copies: 2}}}, {Tenants: []Tenant{{Copies: -1}}}} {
+		if bad.copies() == nil {
+			t.Errorf("taken: %+v", bad)
+		}
+	}
+}
--- /dev/null
+++ b/simulation/traffic_test.go
@@ -0,0 +1,33 @@
+package simulation
+
+import (
+	"testing"
+
+	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/dataplane/quota"
+	"example.org/elmspan/dataplane/words"
+)
+
+// Of a word each part's bytes are counted once, and all of them together are the word.
+func TestBytesOfWordsAddUp(t *testing.T) {
+	spent := []quota.Spent{{Tenant: 1, Units: 300, Level: 9}, {Tenant: 2, Units: 5}}
+	list := []words.Word{
+		{From: 1, Life: 2, AgeMs: 1000, Spent: spent, Hints: []balance.Hint{{Server: 1}}, Set: 7},
+		{From: 1, Life: 2, Demand: []balance.Demand{{Service: 3, Level: 4}},
+			Group: quota.Digest{Level: 2, Heard: 3, Classes: []quota.Class{{Set: 1, Count: 300}}, Spent: spent}},
+		{},
+	}
+	var sum Traffic
+	bytes := 0
+	for i := range list {
+		n := len(list[i].Append(nil))
+		sum.word(&list[i], n)
+		bytes += n + wordOverhead
+	}
+	if sum.WordBytes() != float64(bytes) {
+		t.Errorf("%v bytes in parts, %d in all", sum.WordBytes(), bytes)
+	}
+	if sum.Words != 3 || sum.Told != 4 || sum.Units != 15 || sum.Sums != 15 || sum.Hints != 6 || sum.Demand != 3 {
+		t.Errorf("%+v", sum)
+	}
+}
