--- a/coreload/added.go
+++ b/coreload/added.go
@@ -64,7 +64,7 @@
 	if !(spec.PerS > 0) || !(spec.Seconds > 0) || spec.Bytes < 0 {
 		return nil, errors.New("--per-s and --seconds above 0, --bytes from 0 on")
 	}
-	s := Spec{Limiters: 1, Routes: spec.Routes, Servers: spec.Servers, Tenants: spec.Tenants, Services: 170, Members: 3, Changes: 1, LinkMbps: 1000, Seed: spec.Seed}
+	s := Spec{Limiters: 1, Routes: spec.Routes, Servers: spec.Servers, Tenants: spec.Tenants, Services: 170, Members: 3, Calls: 200, Changes: 1, LinkMbps: 1000, Seed: spec.Seed}
 	if err := s.check(); err != nil {
 		return nil, err
 	}
--- a/coreload/coreload.go
+++ b/coreload/coreload.go
@@ -36,6 +36,7 @@
 	Servers  int           `help:"Servers on the platform's list." default:"300"`
 	Tenants  int           `help:"Tenants of the configuration, each with a key and a quota." default:"100"`
 	Services int           `help:"Services of the configuration, among which routes and servers are divided." default:"3"`
+	Calls    float64       `help:"Calls a second that the platform allows the leader (rate_per_s)." default:"200"`
 	Members  int           `help:"Members of the core: 3 or 5." default:"3"`
 	Changes  int           `help:"Configurations brought, one a second, each with one other weight." default:"5"`
 	Release  int           `help:"Servers replaced a second, for as many seconds as there are changes." default:"8"`
@@ -58,6 +59,9 @@
 	if s.Release < 0 || s.Release > s.Servers {
 		errs = append(errs, fmt.Errorf("--release: %d: from 0 to --servers", s.Release))
 	}
+	if !(s.Calls > 0) {
+		errs = append(errs, fmt.Errorf("--calls: %v: above 0", s.Calls))
+	}
 	if s.Members != 3 && s.Members != 5 {
 		errs = append(errs, fmt.Errorf("--members: %d: 3 or 5", s.Members))
 	}
@@ -176,8 +180,8 @@
 	text := fmt.Sprintf("node_name = \"core-%d\"\nserved_roles = [\"edge\", \"control\"]\nip = %q\nzone = \"z\"\ninternal_port_range = [%d, %d]\n"+
 		"seed_peers = [%s]\nbootstrap = true\nquorum_member = true\ndata_dir = %q\n[listeners]\nfront_port = %q\nready_port = %q\ncontrol_port = %q\n"+
 		"[fault_tolerance]\nmachine_failures = %d\n[timing_bounds]\ndrain_ms = 4000\ngrace_s = 6\nconfig_apply_ms = 4000\nstrict_revocation = true\nrevoke_ms = 5000\n"+
-		"[cloud_api]\naddress = %q\nrate_per_s = 200.0\n",
-		i, ip(i), r.ports[0], r.ports[0]+1, strings.Join(seeds, ", "), filepath.Join(home, "data"), r.addr(i, 2), r.addr(i, 3), r.addr(i, 4), r.spec.Members/2, r.platform.addr)
+		"[cloud_api]\naddress = %q\nrate_per_s = %g\n",
+		i, ip(i), r.ports[0], r.ports[0]+1, strings.Join(seeds, ", "), filepath.Join(home, "data"), r.addr(i, 2), r.addr(i, 3), r.addr(i, 4), r.spec.Members/2, r.platform.addr, r.spec.Calls)
 	path := filepath.Join(home, "node.toml")
 	if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
 		return nil, err
--- a/coreload/coreload_test.go
+++ b/coreload/coreload_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	const most = 60.0
-	spec := Spec{Limiters: 300, Routes: 10_000, Servers: 300, Tenants: 100, Services: 3, Members: 3, Changes: 3, Release: 8, LinkMbps: 5, Whole: true, Rest: time.Second, Seed: 1}
+	spec := Spec{Limiters: 300, Routes: 10_000, Servers: 300, Tenants: 100, Services: 3, Members: 3, Calls: 200, Changes: 3, Release: 8, LinkMbps: 5, Whole: true, Rest: time.Second, Seed: 1}
 	if raced {
 		spec.Limiters, spec.Routes = 20, 500
 	}
@@ -68,7 +68,7 @@
 			t.Errorf("process %d had %.1f MB at its peak, %.0f at most", i, mb, most)
 		}
 	}
-	if len(r.Phases) != 4 || len(r.Phases[2].Takeover) != spec.Changes || r.Leases < int64(spec.Limiters) {
+	if len(r.Phases) != 5 || len(r.Phases[2].Takeover) != spec.Changes || r.Leases < int64(spec.Limiters) {
 		t.Errorf("%d phases, %d leases", len(r.Phases), r.Leases)
 	}
 }
@@ -76,7 +76,7 @@
 // What makes no sense is named, and nothing is started.
 func TestSpecIsChecked(t *testing.T) {
 	_, err := Run(t.Context(), Spec{Limiters: 1, Routes: 0, Servers: 5, Services: 1, Changes: 1, Release: 6, Members: 4}, []string{"/nothing"}, t.TempDir())
-	for _, name := range []string{"--routes", "--release", "--link-mbps", "--tenants", "--members"} {
+	for _, name := range []string{"--routes", "--release", "--link-mbps", "--tenants", "--members", "--calls"} {
 		if err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%v does not name %s", err, name)
 		}
@@ -91,7 +91,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	spec := Spec{Limiters: 5, Routes: 50, Servers: 60, Tenants: 20, Services: 4, Members: 3, Changes: 1, LinkMbps: 100, Rest: 100 * time.Millisecond, Herd: true, Restarts: true, Seed: 1}
+	spec := Spec{Limiters: 5, Routes: 50, Servers: 60, Tenants: 20, Services: 4, Members: 3, Calls: 200, Changes: 1, LinkMbps: 100, Release: 3, Rest: 100 * time.Millisecond, Herd: true, Restarts: true, Seed: 1}
 	r, err := Run(t.Context(), spec, []string{self}, t.TempDir())
 	if err != nil {
 		t.Fatal(err)
@@ -102,13 +102,13 @@
 		if len(p.Used) != spec.Members {
 			t.Errorf("%s: %d processes", p.Name, len(p.Used))
 		}
-		if p.Name == "herd" || p.Name == "power" {
+		if p.Name == "herd" || p.Name == "power" || p.Name == "drain" {
 			if len(p.Takeover) != 1 || p.News == 0 || p.Asks < int64(spec.Limiters) {
 				t.Errorf("%s: %+v", p.Name, p)
 			}
 		}
 	}
-	if got := strings.Join(names, " "); got != "start rest changes herd follower leader power" {
+	if got := strings.Join(names, " "); got != "start rest changes release drain herd follower leader power" {
 		t.Error(got)
 	}
 	if c := r.Phases[2]; len(c.Acknowledged) != 1 || c.Used[c.Leader].Written == 0 {
--- a/coreload/measure.go
+++ b/coreload/measure.go
@@ -59,6 +59,7 @@
 		{"rest", true, func(*Phase) error { return r.sleep(ctx, r.spec.Rest) }},
 		{"changes", true, func(p *Phase) error { return r.changes(ctx, p) }},
 		{"release", r.spec.Release > 0, func(*Phase) error { return r.release(ctx) }},
+		{"drain", r.spec.Release > 0, func(p *Phase) error { return r.drain(ctx, p) }},
 		{"herd", r.spec.Herd, func(p *Phase) error { return r.all(ctx, p) }},
 		{"follower", r.spec.Restarts, func(*Phase) error { return r.restart(ctx, (r.leader(ctx)+1)%r.spec.Members) }},
 		{"leader", r.spec.Restarts, func(*Phase) error { return r.restart(ctx, r.leader(ctx)) }},
@@ -124,7 +125,7 @@
 		return err
 	}
 	p.Acknowledged = append(p.Acknowledged, at.Sub(sent))
-	if err := r.await(ctx, at, false, p); err != nil {
+	if err := r.await(ctx, at, config, p); err != nil {
 		return err
 	}
 	return r.sleep(ctx, changeGap-time.Since(begun))
@@ -141,6 +142,19 @@
 	return nil
 }
 
+// drain has servers replaced once, in quiet, and waits for the last watcher's next list.
+func (r *run) drain(ctx context.Context, p *Phase) error {
+	if err := r.sleep(ctx, drainsFor+2*changeGap); err != nil { // what the release left has gone
+		return err
+	}
+	for len(r.news) > 0 { // lists before this one
+		<-r.news
+	}
+	at := time.Now()
+	r.platform.replace(r.spec.Release)
+	return r.await(ctx, at, list, p)
+}
+
 // all has all watchers start at once, with nothing, and waits for the last to serve.
 func (r *run) all(ctx context.Context, p *Phase) error {
 	r.stopWatchers()
@@ -150,7 +164,7 @@
 			return err
 		}
 	}
-	return r.await(ctx, at, true, p)
+	return r.await(ctx, at, serves, p)
 }
 
 func (r *run) stopWatchers() {
@@ -206,19 +220,22 @@
 	return r.all(ctx, p)
 }
 
-// await waits until every watcher has the configuration, or serves.
-func (r *run) await(ctx context.Context, since time.Time, serve bool, p *Phase) error {
+// await waits until every watcher has taken the configuration, serves, or has had a newer
+// list since then.
+func (r *run) await(ctx context.Context, since time.Time, of what, p *Phase) error {
 	var after []time.Duration
+	had := map[*watcher]bool{}
 	t := time.NewTimer(takesIn)
 	defer t.Stop()
 	for len(after) < len(r.watchers) {
 		select {
 		case n := <-r.news:
-			if n.revision == r.config.Revision && n.serves == serve {
+			if n.revision == r.config.Revision && n.what == of && !had[n.by] && (of != list || !n.at.Before(since)) {
+				had[n.by] = true
 				after = append(after, max(0, n.at.Sub(since)))
 			}
 		case <-t.C:
-			return fmt.Errorf("coreload: %d of %d watchers have revision %d after %v", len(after), len(r.watchers), r.config.Revision, takesIn)
+			return fmt.Errorf("coreload: %d of %d watchers have what was told at revision %d after %v", len(after), len(r.watchers), r.config.Revision, takesIn)
 		case <-ctx.Done():
 			return ctx.Err()
 		}
--- a/coreload/watcher.go
+++ b/coreload/watcher.go
@@ -57,9 +57,19 @@
 type taken struct {
 	revision uint64
 	at       time.Time
-	serves   bool // it has configuration, list and lease, for the first time since its start
+	what     what
+	by       *watcher
 }
 
+// what a watcher has taken.
+type what int
+
+const (
+	config what = iota
+	list        // of servers, newer than it had
+	serves      // it has configuration, list and lease, for the first time since its start
+)
+
 func (w *watcher) run(ctx context.Context) {
 	defer close(w.done)
 	at := 0
@@ -107,12 +117,13 @@
 	}
 	if n.Lease && !w.serves && w.revision.Load() != 0 && w.servers.Load() != 0 {
 		w.serves = true
-		w.tell(ctx, taken{w.revision.Load(), time.Now(), true})
+		w.tell(ctx, taken{revision: w.revision.Load(), at: time.Now(), what: serves})
 	}
 	return n.Lease
 }
 
 func (w *watcher) tell(ctx context.Context, t taken) {
+	t.by = w
 	select {
 	case w.news <- t:
 	case <-ctx.Done():
@@ -150,7 +161,12 @@
 	}
 	version.Store(p.To)
 	if table == api.ConfigTable {
-		w.tell(ctx, taken{p.To, time.Now(), false})
+		w.tell(ctx, taken{revision: p.To, at: time.Now(), what: config})
+	} else {
+		select {
+		case w.news <- taken{revision: w.revision.Load(), at: time.Now(), what: list, by: w}:
+		default: // nobody waits for lists now
+		}
 	}
 	return true
 }
