How long a process waited for a processor stands beside its times

Cause: p99 through a gateway was 13 to 32 ms on a machine at loads of 22 to 46, with 1 MB of heap as with 36: not the collector. Its threads waited 1.0 to 1.3 ms for a processor for each request of 0.45 ms: the machine's. Change: /proc's run-queue delay in coreload.Usage and in the report of elmspan-lab added.

--- a/coreload/added.go
+++ b/coreload/added.go
@@ -38,7 +38,10 @@
 	Straight       [3]float64
 	Asked, Refused int
 	CPUMs          float64 // of the gateway's process, for each request through it
-	OwnMB          float64
+	// WaitedMs is how long the gateway's threads waited for a processor, for each request:
+	// what a busy machine has in the times above.
+	WaitedMs float64
+	OwnMB    float64
 }
 
 // Write writes the report for a person.
@@ -46,7 +49,7 @@
 	fmt.Fprintf(w, "%d routes, %d tenants, %d servers, %g requests a second, half through one gateway\n", r.Spec.Routes, r.Spec.Tenants, r.Spec.Servers, r.Spec.PerS)
 	fmt.Fprintf(w, "ms, p50 p99 p99.9: through %.3f, straight %.3f, added %.3f %.3f %.3f\n", r.Through, r.Straight,
 		r.Through[0]-r.Straight[0], r.Through[1]-r.Straight[1], r.Through[2]-r.Straight[2])
-	fmt.Fprintf(w, "%d through, of which %d did not end with 200; processor %.3f ms a request (control included), %.1f MB of its own\n", r.Asked, r.Refused, r.CPUMs, r.OwnMB)
+	fmt.Fprintf(w, "%d through, of which %d did not end with 200; processor %.3f ms a request (control included), %.3f waited for one, %.1f MB of its own\n", r.Asked, r.Refused, r.CPUMs, r.WaitedMs, r.OwnMB)
 }
 
 const (
@@ -135,6 +138,7 @@
 	}
 	tasks.Wait()
 	u := r.usage()[at].since(before)
+	rep.WaitedMs = u.Waited.Seconds() * 1000 / float64(max(1, rep.Asked))
 	rep.CPUMs, rep.OwnMB = u.CPU.Seconds()*1000/float64(max(1, rep.Asked)), u.OwnMB
 	for i, q := range []float64{50, 99, 99.9} {
 		rep.Through[i], rep.Straight[i] = float64(through.ValueAtQuantile(q))/1000, float64(straight.ValueAtQuantile(q))/1000
--- a/coreload/usage.go
+++ b/coreload/usage.go
@@ -14,6 +14,9 @@
 // Usage is what a process used in some time, as the kernel counts it (proc(5)).
 type Usage struct {
 	CPU time.Duration // counted in steps of 10 ms
+	// Waited is how long its threads were ready and had no processor: what a busy machine
+	// adds to its times.
+	Waited time.Duration
 	// Bytes that it read and wrote, from and to sockets, files and all else, and by how
 	// many calls; and those that went to disk.
 	Read, Written int64
@@ -30,6 +33,7 @@
 		return u
 	}
 	u.CPU -= b.CPU
+	u.Waited -= b.Waited
 	u.Read -= b.Read
 	u.Written -= b.Written
 	u.Reads -= b.Reads
@@ -44,7 +48,7 @@
 // usage is what each process has used since its start.
 func (r *run) usage() (out []Usage) {
 	for _, p := range r.members() {
-		u := Usage{pid: p.pid, OwnMB: ownMB(p.pid), HeapMB: heapMB(filepath.Join(p.home, "log"))}
+		u := Usage{pid: p.pid, Waited: waited(p.pid), OwnMB: ownMB(p.pid), HeapMB: heapMB(filepath.Join(p.home, "log"))}
 		if data, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.pid)); err == nil {
 			// Fields 14 and 15, counted behind the name in brackets.
 			if f := strings.Fields(string(data[strings.LastIndexByte(string(data), ')')+1:])); len(f) > 12 {
@@ -106,6 +110,24 @@
 	return 0
 }
 
+// waited is how long a process's threads have waited for a processor, those that have
+// ended left out. 0 where that can't be had.
+func waited(pid int) (d time.Duration) {
+	tasks, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/schedstat", pid))
+	if err != nil {
+		return 0
+	}
+	for _, t := range tasks {
+		data, err := os.ReadFile(t)
+		if f := strings.Fields(string(data)); err == nil && len(f) == 3 {
+			if ns, err := strconv.ParseInt(f[1], 10, 64); err == nil {
+				d += time.Duration(ns)
+			}
+		}
+	}
+	return d
+}
+
 // heapMB is what the last collection left on the heap, as GODEBUG=gctrace=1 has it in
 // the log: "gc 12 @3.1s 2%: ..., 7->8->4 MB, ...". In whole MB.
 func heapMB(log string) float64 {
