A long list of servers is read within the platform's rate, and up to 2,000 pages

Cause: the leader read all pages at once whatever rate_per_s says. And past 200 pages, 10,000 servers with those that drain, there was an error in place of a list. Ruled out: the core and its watches, which serve at the same size with 200 calls a second. Change: beyond half a second of the rate at once, which lists of today's fleets are within, pages are asked for at 0.8 of it, and a page that is turned away is asked for again; 2,000 pages at most.

--- a/coreload/coreload.go
+++ b/coreload/coreload.go
@@ -128,7 +128,7 @@
 		l.Close()
 	}
 	var err error
-	if r.platform, err = startPlatform(r.spec.Servers, r.spec.Services); err != nil {
+	if r.platform, err = startPlatform(r.spec.Servers, r.spec.Services, r.spec.Calls); err != nil {
 		return err
 	}
 	r.start1 = func(i int) (*proc, error) { return r.startProcess(ctx, program, dir, i) }
--- a/coreload/platform.go
+++ b/coreload/platform.go
@@ -24,19 +24,23 @@
 	srv  *http.Server
 
 	services int
+	perS     float64 // calls a second that it takes, and as many at once; others get 429
 
 	mu      sync.Mutex
 	servers []api.Server
 	next    int
 	ends    map[string]time.Time // of those that drain
+	credit  float64              // calls that may come at once
+	at      time.Time
+	busy    int // calls that were turned away
 }
 
-func startPlatform(n, services int) (*platform, error) {
+func startPlatform(n, services int, perS float64) (*platform, error) {
 	l, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		return nil, fmt.Errorf("coreload: the platform: %w", err)
 	}
-	p := &platform{addr: l.Addr().String(), services: services, ends: map[string]time.Time{}}
+	p := &platform{addr: l.Addr().String(), services: services, perS: perS, credit: perS, at: time.Now(), ends: map[string]time.Time{}}
 	for range n {
 		p.servers = append(p.servers, p.fresh())
 	}
@@ -79,6 +83,14 @@
 func (p *platform) members(w http.ResponseWriter, r *http.Request) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
+	now := time.Now()
+	p.credit, p.at = min(p.perS, p.credit+p.perS*now.Sub(p.at).Seconds()), now
+	if p.credit < 1 {
+		p.busy++
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	p.credit--
 	at, err := strconv.Atoi(r.URL.Query().Get("page_token"))
 	if err != nil || at < 0 {
 		at = 0
--- a/discovery/discovery.go
+++ b/discovery/discovery.go
@@ -6,6 +6,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"io"
 	"net/http"
@@ -13,12 +14,21 @@
 	"time"
 
 	"example.org/elmspan/api"
+	"example.org/elmspan/internal/backoff"
 )
 
 const (
 	callTimeout = time.Second
-	mostPages   = 200
+	mostPages   = 2000
 	mostPage    = 4 << 20
+
+	// A list of more pages than half a second of the platform's rate is read at a part of
+	// that rate, and goes on where the platform was busy all the same: read at once it
+	// would be turned away at the same page each time, and never be had.
+	atOnce    = 0.5 // seconds of the rate
+	ratePart  = 0.8
+	mostBusy  = 8 // times that a page is asked for again
+	busyPause = 500 * time.Millisecond
 )
 
 // ErrBusy tells that the platform's rate is exceeded.
@@ -33,16 +43,34 @@
 	DisableCompression: true, ReadBufferSize: 4 << 10, WriteBufferSize: 1 << 10}}
 
 // List asks the platform at an address for the whole list, in as many calls as
-// it has pages.
-func List(ctx context.Context, addr string) (list []api.Server, pages int, err error) {
+// it has pages, of which it takes so many a second; 0: any. [ErrBusy]: it is over
+// that rate, with others that ask.
+func List(ctx context.Context, addr string, perS float64) (list []api.Server, pages int, err error) {
+	return read(perS, func(token string) (*page, error) { return ask(ctx, addr, token) },
+		func(d time.Duration) bool { return backoff.Sleep(ctx, d) })
+}
+
+// read reads a list page by page. sleep tells whether all of the time has passed.
+func read(perS float64, ask func(token string) (*page, error), sleep func(time.Duration) bool) (list []api.Server, pages int, err error) {
 	var out []api.Server
-	token := ""
+	token, busy := "", 0
 	for pages < mostPages {
-		p, err := ask(ctx, addr, token)
+		paced := perS > 0 && float64(pages) >= atOnce*perS
+		if paced && !sleep(time.Duration(float64(time.Second)/(ratePart*perS))) {
+			return nil, pages, context.Canceled
+		}
+		p, err := ask(token)
+		if errors.Is(err, ErrBusy) && paced && busy < mostBusy {
+			if busy++; !sleep(busyPause) {
+				return nil, pages, context.Canceled
+			}
+			continue
+		}
 		if err != nil {
 			return nil, pages, err
 		}
 		pages++
+		busy = 0
 		for _, m := range p.Members {
 			if m.ID != "" && m.Addr != "" && m.Upstream != "" {
 				out = append(out, m)
--- a/process/discover.go
+++ b/process/discover.go
@@ -77,7 +77,7 @@
 			continue
 		}
 		last, d.asked = now, true
-		list, pages, err := discovery.List(ctx, cfg.Cloud.Address)
+		list, pages, err := discovery.List(ctx, cfg.Cloud.Address, cfg.Cloud.RatePerS)
 		if errors.Is(err, discovery.ErrBusy) {
 			backoff.Sleep(ctx, busyPause+backoff.Spread(busyPause, rng))
 		}
