--- a/coreload/coreload_test.go
+++ b/coreload/coreload_test.go
@@ -52,7 +52,7 @@
 		t.Fatal(err)
 	}
 	const most = 60.0
-	spec := Spec{Limiters: 300, Routes: 10_000, Servers: 300, Tenants: 100, Services: 3, Members: 3, Changes: 3, Release: 8, LinkMbps: 5, Whole: true, Rest: time.Second, Seed: 1}
+	spec := Spec{Limiters: 300, Routes: 10_000, Servers: 300, Tenants: 100, Services: 3, Members: 3, Calls: 200, Changes: 3, Release: 8, LinkMbps: 5, Whole: true, Rest: time.Second, Seed: 1}
 	if raced {
 		spec.Limiters, spec.Routes = 20, 500
 	}
@@ -68,7 +68,7 @@
 			t.Errorf("process %d had %.1f MB at its peak, %.0f at most", i, mb, most)
 		}
 	}
-	if len(r.Phases) != 4 || len(r.Phases[2].Takeover) != spec.Changes || r.Leases < int64(spec.Limiters) {
+	if len(r.Phases) != 5 || len(r.Phases[2].Takeover) != spec.Changes || r.Leases < int64(spec.Limiters) {
 		t.Errorf("%d phases, %d leases", len(r.Phases), r.Leases)
 	}
 }
@@ -76,9 +76,61 @@
 // What makes no sense is named, and nothing is started.
 func TestSpecIsChecked(t *testing.T) {
 	_, err := Run(t.Context(), Spec{Limiters: 1, Routes: 0, Servers: 5, Services: 1, Changes: 1, Release: 6, Members: 4}, []string{"/nothing"}, t.TempDir())
-	for _, name := range []string{"--routes", "--release", "--link-mbps", "--tenants", "--members"} {
+	for _, name := range []string{"--routes", "--release", "--link-mbps", "--tenants", "--members", "--calls"} {
 		if err == nil || !strings.Contains(err.Error(), name) {
 			t.Errorf("%v does not name %s", err, name)
 		}
 	}
 }
+
+// A small core loses watchers and members, and the report tells leader and followers
+// apart: all phases are there, all watchers serve again after each.
+func TestPhasesOfLoss(t *testing.T) {
+	t.Setenv(gatewayEnv, "1")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	spec := Spec{Limiters: 5, Routes: 50, Servers: 60, Tenants: 20, Services: 4, Members: 3, Calls: 200, Changes: 1, LinkMbps: 100, Release: 3, Rest: 100 * time.Millisecond, Herd: true, Restarts: true, Seed: 1}
+	r, err := Run(t.Context(), spec, []string{self}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	var names []string
+	for _, p := range r.Phases {
+		names = append(names, p.Name)
+		if len(p.Used) != spec.Members {
+			t.Errorf("%s: %d processes", p.Name, len(p.Used))
+		}
+		if p.Name == "herd" || p.Name == "power" || p.Name == "drain" {
+			if len(p.Takeover) != 1 || p.News == 0 || p.Asks < int64(spec.Limiters) {
+				t.Errorf("%s: %+v", p.Name, p)
+			}
+		}
+	}
+	if got := strings.Join(names, " "); got != "start rest changes release drain herd follower leader power" {
+		t.Error(got)
+	}
+	if c := r.Phases[2]; len(c.Acknowledged) != 1 || c.Used[c.Leader].Written == 0 {
+		t.Errorf("changes: %+v", c)
+	}
+}
+
+// What a gateway adds is measured on requests that were served.
+func TestAddedIsMeasured(t *testing.T) {
+	t.Setenv(gatewayEnv, "1")
+	self, err := os.Executable()
+	if err != nil {
+		t.Fatal(err)
+	}
+	r, err := Added(t.Context(), AddedSpec{Routes: 20, Tenants: 10, Servers: 30, PerS: 200, Seconds: 1, Bytes: 100, Seed: 1}, []string{self}, t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.Asked < 20 || 10*r.Refused > r.Asked || r.Through[0] <= r.Straight[0] || r.Through[1] < r.Through[0] {
+		t.Errorf("%+v", r)
+	}
+	if _, err := Added(t.Context(), AddedSpec{Routes: 1, Tenants: 1, Servers: 1}, []string{self}, t.TempDir()); err == nil {
+		t.Error("no requests a second were taken")
+	}
+}
