--- a/controlplane/repair_test.go
+++ b/controlplane/repair_test.go
@@ -398,6 +398,40 @@
 	}
 }
 
+// A voter that was lost before its leader was is replaced by the next leader an election
+// time after it leads: it has never answered that one, and its silence is not counted anew.
+func TestSilenceIsNotCountedAnew(t *testing.T) {
+	t.Parallel()
+	for seed := range uint64(20) {
+		s := newSite(seed, 5, 2, "")
+		s.steps(syncTicks)
+		l := s.leader()
+		if l == nil {
+			t.Fatalf("seed %d: no leader", seed)
+		}
+		var lost *machine
+		for _, m := range s.machines {
+			if m != l && voter(l.node.Members(), m.id) {
+				lost = m
+			}
+		}
+		lost.node = nil
+		s.steps(3)
+		l.node = nil
+		for i := 0; s.leader() == nil || s.leader() == l; i++ {
+			if s.step(); i > mostSilence {
+				t.Fatalf("seed %d: no new leader", seed)
+			}
+		}
+		led := s.now
+		for l = s.leader(); voter(l.node.Members(), lost.id); s.step() {
+			if s.now-led > electionTicks+8 {
+				t.Fatalf("seed %d: a voter that never answered still votes %d ticks after the election", seed, s.now-led)
+			}
+		}
+	}
+}
+
 // With voters replaced in two steps, 0.2 s apart, and silent ones after 3 s, as it
 // once was, a second loss finds a core without a majority: the test above would see it.
 func TestTwoStepsBearNoSecondLoss(t *testing.T) {
