--- a/controlplane/core_test.go
+++ b/controlplane/core_test.go
@@ -40,8 +40,16 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
+	c.run(addr, l, core, core, func() {
+		conns.Close()
+		store.Close()
+	})
+}
+
+// run serves a core's calls by what stands for it, until it is stopped.
+func (c *cluster) run(addr string, l net.Listener, core *Core, calls api.Control, after func()) {
 	srv := api.NewServer(nil)
-	api.RegisterControl(srv, core)
+	api.RegisterControl(srv, calls)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go srv.Serve(l)
@@ -51,8 +59,7 @@
 		cancel()
 		srv.Stop()
 		<-done
-		conns.Close()
-		store.Close()
+		after()
 		delete(c.cores, addr)
 		delete(c.stops, addr)
 	}
--- a/controlplane/cutoff_test.go
+++ b/controlplane/cutoff_test.go
@@ -167,22 +167,10 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	srv := api.NewServer(nil)
-	api.RegisterControl(srv, &cuttable{core, &c.cuts, addr})
-	ctx, cancel := context.WithCancel(context.Background())
-	done := make(chan struct{})
-	go srv.Serve(l)
-	go func() { core.Run(ctx); close(done) }()
-	c.cores[addr] = core
-	c.stops[addr] = func() {
-		cancel()
-		srv.Stop()
-		<-done
+	c.run(addr, l, core, &cuttable{core, &c.cuts, addr}, func() {
 		conns.Close()
 		store.Close()
-		delete(c.cores, addr)
-		delete(c.stops, addr)
-	}
+	})
 }
 
 func (c *cutCore) restart(addr string) {
