A dialer other than the sockets' can be given to the connections between processes

Cause: api.Dial always dialled sockets, so that what calls other processes could only be tested on the wall clock. Dial and NewConns take gRPC's own options, which override theirs; the product gives none. Ruled out: a variable of the package for the dialer, as tests that run side by side would share it. Measured: go test -count=1 ./api ./membership ./process passed.

--- a/api/conns.go
+++ b/api/conns.go
@@ -30,6 +30,7 @@
 // Conns keeps one connection to each process that is called.
 type Conns struct {
 	ring  *keys.Ring
+	opts  []grpc.DialOption
 	clock func() time.Time
 
 	mu     sync.Mutex
@@ -38,9 +39,9 @@
 }
 
 // NewConns returns an empty set. With keys (nil: none) only processes of the
-// same authority are spoken to.
-func NewConns(ring *keys.Ring) *Conns {
-	return &Conns{ring: ring, clock: time.Now, byAddr: map[string]*grpc.ClientConn{}, used: map[string]time.Time{}}
+// same authority are spoken to. Options are as for [Dial].
+func NewConns(ring *keys.Ring, opts ...grpc.DialOption) *Conns {
+	return &Conns{ring: ring, opts: opts, clock: time.Now, byAddr: map[string]*grpc.ClientConn{}, used: map[string]time.Time{}}
 }
 
 // To returns the connection to an address.
@@ -57,7 +58,7 @@
 			s.drop(a)
 		}
 	}
-	c, err := Dial(addr, s.ring)
+	c, err := Dial(addr, s.ring, s.opts...)
 	if err != nil {
 		delete(s.used, addr)
 		return nil, err
--- a/api/rpc.go
+++ b/api/rpc.go
@@ -265,8 +265,9 @@
 // RegisterMembership adds the heartbeats.
 func RegisterMembership(s *grpc.Server, m Membership) { s.RegisterService(&membershipDesc, m) }
 
-// Dial returns a connection to a process. It connects when it is first used.
-func Dial(addr string, ring *keys.Ring) (*grpc.ClientConn, error) {
+// Dial returns a connection to a process. It connects when it is first used. Options
+// override its own: with another dialer ([grpc.WithContextDialer]) it needs no sockets.
+func Dial(addr string, ring *keys.Ring, opts ...grpc.DialOption) (*grpc.ClientConn, error) {
 	creds := insecure.NewCredentials()
 	if ring != nil {
 		at, err := netip.ParseAddrPort(addr)
@@ -275,14 +276,14 @@
 		}
 		creds = credentials.NewTLS(ring.Client(net.IP(at.Addr().AsSlice())))
 	}
-	return grpc.NewClient("passthrough:///"+addr,
+	return grpc.NewClient("passthrough:///"+addr, append([]grpc.DialOption{
 		grpc.WithTransportCredentials(creds),
 		grpc.WithContextDialer(dial),
 		grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer), grpc.WithSharedWriteBuffer(true),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 500 * time.Millisecond,
 			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: 400 * time.Millisecond}}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessage)),
-		grpc.WithDisableServiceConfig(), grpc.WithUserAgent("e"))
+		grpc.WithDisableServiceConfig(), grpc.WithUserAgent("e")}, opts...)...)
 }
 
 // packed has a call's messages go out compressed, both ways: a configuration of 1,400
