The bounds of callers are tested in fake time, to the number

Cause: TestBounds counted refusals among 30 calls at 5 a second on the wall clock: slower than 3 s for them, and fewer than 15 are refused. Change: a synctest bubble; 20 of 30 at once are refused, and 25 of 30 a second later (before: 15 at least).

--- a/operators/operators_test.go
+++ b/operators/operators_test.go
@@ -10,6 +10,7 @@
 	"path/filepath"
 	"strings"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -131,7 +132,9 @@
 
 // One caller can't take the interface from the others, and the table of callers
 // is bounded.
-func TestBounds(t *testing.T) {
+func TestBounds(t *testing.T) { synctest.Test(t, testBounds) }
+
+func testBounds(t *testing.T) {
 	g := &Guard{Bounds: Bounds{CallsPerS: 5, InHand: 2}, Log: slog.New(slog.DiscardHandler), Now: time.Now}
 	in, out := make(chan bool), make(chan bool)
 	h := g.Handler(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
@@ -153,9 +156,19 @@
 			refused++
 		}
 	}
-	if refused < 15 {
+	if refused != 20 { // two seconds' worth may come at once
 		t.Errorf("%d of 30 calls at once were refused", refused)
 	}
+	time.Sleep(time.Second) // the bubble's
+	refused = 0
+	for range 30 {
+		if code, again := call("10.0.0.1", "/"); code == 429 && again != "" {
+			refused++
+		}
+	}
+	if refused != 25 {
+		t.Errorf("%d of 30 calls a second later were refused", refused)
+	}
 	if code, _ := call("10.0.0.2", "/"); code != 200 {
 		t.Errorf("another caller is answered %d", code)
 	}
