How long a connection is waited for is tested in fake time

Cause: TestRefusedAttemptEnds found two attempts on a machine that stood still for 150 ms between them; that a silent machine is waited for no longer than asked was only tested up to a minute. Change: both in synctest bubbles, to the millisecond: 20 ms, and dialAgain. The other bounds are against a hang alone and longer.

--- a/api/conns_test.go
+++ b/api/conns_test.go
@@ -16,7 +16,7 @@
 // A peer that says nothing any more is given up by the system, on the
 // connections that are dialled and on those that are accepted.
 func TestSilentConnectionsAreGivenUp(t *testing.T) {
-	ctx, cancel := context.WithTimeout(context.Background(), 20*time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Minute) // against a hang alone
 	defer cancel()
 	l, err := Listen(ctx, "127.0.0.1:0")
 	if err != nil {
--- a/api/reaches_test.go
+++ b/api/reaches_test.go
@@ -5,11 +5,16 @@
 	"errors"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/test/bufconn"
 )
 
 // Who waits for a member says how long for a connection: a machine that takes it and
 // says nothing, or is not there, does not use up the time that the call has.
+// (How long it is waited for: [TestReachesWaitsNoLonger].)
 func TestReachesWaitsForAConnectionOnly(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
@@ -49,6 +54,32 @@
 	}
 }
 
+// A machine that takes a connection and says nothing is waited for as long as was said,
+// to the last: then, and not before, it is not reached.
+func TestReachesWaitsNoLonger(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		silent := bufconn.Listen(64 << 10)
+		defer silent.Close()
+		go func() {
+			for c, err := silent.Accept(); err == nil; c, err = silent.Accept() {
+				defer c.Close() // kept open, and never read
+			}
+		}()
+		conns := NewConns(nil, grpc.WithContextDialer(func(ctx context.Context, _ string) (net.Conn, error) { return silent.DialContext(ctx) }))
+		defer conns.Close()
+		conn, err := conns.To("10.0.0.1:1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for range 2 {
+			begun := time.Now()
+			if got, took := Reaches(t.Context(), conn, 20*time.Millisecond), time.Since(begun); got || took != 20*time.Millisecond {
+				t.Errorf("%v after %v", got, took)
+			}
+		}
+	})
+}
+
 // closing tells when it is closed.
 type closing struct {
 	net.Conn
@@ -64,7 +95,9 @@
 // attempt reaches it, and what the first may still bring is closed. (Found on a day on
 // which all lost power: two of three members were up for 0.6 s before they heard each
 // other. Fails where one attempt is waited for.)
-func TestSilentAttemptIsNotWaitedFor(t *testing.T) {
+func TestSilentAttemptIsNotWaitedFor(t *testing.T) { synctest.Test(t, testSilentAttempt) }
+
+func testSilentAttempt(t *testing.T) {
 	ctx, cancel := context.WithTimeout(t.Context(), time.Minute)
 	defer cancel()
 	here, there := net.Pipe()
@@ -74,6 +107,7 @@
 	attempts <- 1
 	attempts <- 2
 	want := closing{there, make(chan struct{})}
+	begun := time.Now()
 	got, err := firstOf(ctx, func(ctx context.Context) (net.Conn, error) {
 		if <-attempts == 1 {
 			<-ctx.Done() // nothing is heard while the call lasts
@@ -84,11 +118,17 @@
 	if err != nil || got != want {
 		t.Fatalf("%v, %v", got, err)
 	}
+	if took := time.Since(begun); took != dialAgain {
+		t.Errorf("the second attempt began after %v", took)
+	}
 	<-late.closed
 }
 
 // A machine that refuses is not asked again beside that, and nothing outlives the call.
-func TestRefusedAttemptEnds(t *testing.T) {
+// (In a bubble: on a machine that stood still for dialAgain a second attempt began.)
+func TestRefusedAttemptEnds(t *testing.T) { synctest.Test(t, testRefusedAttempt) }
+
+func testRefusedAttempt(t *testing.T) {
 	refused := errors.New("refused")
 	n := 0
 	if _, err := firstOf(t.Context(), func(context.Context) (net.Conn, error) { n++; return nil, refused }); err != refused || n != 1 {
