Tests of the gateway run in fake time; on sockets only hangs are bounded

Their verdicts hung on the machine: 3 s for a request, 4.5 s of lease, 1 s to connect, 10 s to send a head, 20 s of patience, 50 ms in which a reset counts as forgetting, hedges that run a handler twice (which closed a channel twice: a panic). On one core with three copies under -race a process stood still for more than 20 s: no goroutine of the gateway was at work on a request then, those of the test were runnable.

All but seven of these tests are now in bubbles of synctest on the network in memory. Those that stay on sockets (resets, half-close, drain, a connection of the pool) have limits of 2 minutes. A connection that is closed unread because it rested too long is no longer asked again: nothing rests that long now. Servers of the model take 1 ms of fake time, so that second servers are tried beside slow ones.

--- a/dataplane/client_test.go
+++ b/dataplane/client_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -74,88 +73,94 @@
 // (RFC 9110, 15.2).
 func TestOldClientsGetNoInterimAnswer(t *testing.T) {
 	t.Parallel()
-	g := newGatewayOf(t, settings.Timing{GraceS: 3}, newBackend(t, good("yes")))
-	c := dial(t, g)
-	fmt.Fprint(c, "POST /once/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
-	untilRead(t, g, 1)
-	io.WriteString(c, "body")
-	if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 200 OK\r\n" {
-		t.Errorf("%q, %v", line, err)
-	}
+	inFakeTime(t, func(t testing.TB) {
+		g := newGatewayOf(t, settings.Timing{GraceS: 3}, newBackend(t, good("yes")))
+		c := dial(t, g)
+		fmt.Fprint(c, "POST /once/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\nExpect: 100-continue\r\nContent-Length: 4\r\n\r\n")
+		untilRead(t, g, 1)
+		io.WriteString(c, "body")
+		if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 200 OK\r\n" {
+			t.Errorf("%q, %v", line, err)
+		}
+	})
 }
 
 // An answer to HEAD says of the body what its server says, and has none.
 func TestHeadSaysWhatGetWouldHave(t *testing.T) {
 	t.Parallel()
-	b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
-		framing := map[string]string{"/get/sized": "Content-Length: 123456\r\n", "/get/chunked": "Transfer-Encoding: chunked\r\n", "/get/unsaid": ""}[h.Target]
-		fmt.Fprintf(w, "HTTP/1.1 404 x\r\nAttempt-Id: a1\r\n%s\r\n", framing)
-		return true
-	})
-	c := dial(t, newGateway(t, b))
-	for target, want := range map[string][2]string{"/get/sized": {"123456", ""}, "/get/chunked": {"", "chunked"}, "/get/unsaid": {"", ""}} {
-		c.send("HEAD "+target, "", "")
-		h, err := h1.ReadAnswer(c.in, 1<<16)
-		if err != nil || h.Status != 404 || h.Get("Content-Length") != want[0] || h.Get("Transfer-Encoding") != want[1] {
-			t.Errorf("%s: %+v, %v; want %v", target, h, err, want)
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+			framing := map[string]string{"/get/sized": "Content-Length: 123456\r\n", "/get/chunked": "Transfer-Encoding: chunked\r\n", "/get/unsaid": ""}[h.Target]
+			fmt.Fprintf(w, "HTTP/1.1 404 x\r\nAttempt-Id: a1\r\n%s\r\n", framing)
+			return true
+		})
+		c := dial(t, newGateway(t, b))
+		for target, want := range map[string][2]string{"/get/sized": {"123456", ""}, "/get/chunked": {"", "chunked"}, "/get/unsaid": {"", ""}} {
+			c.send("HEAD "+target, "", "")
+			h, err := h1.ReadAnswer(c.in, 1<<16)
+			if err != nil || h.Status != 404 || h.Get("Content-Length") != want[0] || h.Get("Transfer-Encoding") != want[1] {
+				t.Errorf("%s: %+v, %v; want %v", target, h, err, want)
+			}
 		}
-	}
+	})
 }
 
 // Requests sent behind each other are answered in their order, each with its own id,
 // whether the first is slow, refused or fails; where it breaks off, nothing follows.
 func TestPipelinedBehindTrouble(t *testing.T) {
 	t.Parallel()
-	for _, first := range []string{"slow", "refused", "failed", "gone", "cut"} {
-		others := make(chan struct{})
-		var done atomic.Int64
-		b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
-			id := h.Get("Attempt-Id")
-			if id == "0" {
-				<-others // the others were answered before
-				switch first {
-				case "refused":
-					fmt.Fprint(w, answerHead("503 x", id, "Not-Executed: full\r\n"+sized(0)))
-					return true
-				case "failed":
-					fmt.Fprint(w, answerHead("500 x", id, sized(4)), "fail")
-					return true
-				case "gone":
-					return false
-				case "cut":
-					fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(2*holdAnswer)), "cut")
-					return false
+	inFakeTime(t, func(t testing.TB) {
+		for _, first := range []string{"slow", "refused", "failed", "gone", "cut"} {
+			others := make(chan struct{})
+			var done atomic.Int64
+			b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+				id := h.Get("Attempt-Id")
+				if id == "0" {
+					<-others // the others were answered before
+					switch first {
+					case "refused":
+						fmt.Fprint(w, answerHead("503 x", id, "Not-Executed: full\r\n"+sized(0)))
+						return true
+					case "failed":
+						fmt.Fprint(w, answerHead("500 x", id, sized(4)), "fail")
+						return true
+					case "gone":
+						return false
+					case "cut":
+						fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(2*holdAnswer)), "cut")
+						return false
+					}
 				}
-			}
-			fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(len(ownBody(id)))), ownBody(id))
-			if done.Add(1) == 3 {
-				close(others)
-			}
-			return true
-		})
-		c := dial(t, newGateway(t, b))
-		var all strings.Builder
-		for id := range 4 {
-			fmt.Fprintf(&all, "GET /open/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: %d\r\n\r\n", id)
-		}
-		io.WriteString(c, all.String())
-		for id := range 4 {
-			h, got, err := c.answer()
-			if first == "cut" {
-				if err == nil || id > 0 {
-					t.Errorf("cut: the answer %d is %+v, %v", id, h, err)
+				fmt.Fprint(w, answerHead("200 OK", id, sealed(id)+sized(len(ownBody(id)))), ownBody(id))
+				if done.Add(1) == 3 {
+					close(others)
 				}
-				break
+				return true
+			})
+			c := dial(t, newGateway(t, b))
+			var all strings.Builder
+			for id := range 4 {
+				fmt.Fprintf(&all, "GET /open/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: %d\r\n\r\n", id)
 			}
-			want := 200
-			if id == 0 {
-				want = map[string]int{"slow": 200, "refused": 503, "failed": 500, "gone": 502}[first]
-			}
-			if err != nil || h.Status != want || h.Get("Attempt-Id") != fmt.Sprint(id) || want == 200 && got != ownBody(fmt.Sprint(id)) {
-				t.Errorf("%s: the answer %d is %+v %q, %v; want %d", first, id, h, got, err, want)
+			io.WriteString(c, all.String())
+			for id := range 4 {
+				h, got, err := c.answer()
+				if first == "cut" {
+					if err == nil || id > 0 {
+						t.Errorf("cut: the answer %d is %+v, %v", id, h, err)
+					}
+					break
+				}
+				want := 200
+				if id == 0 {
+					want = map[string]int{"slow": 200, "refused": 503, "failed": 500, "gone": 502}[first]
+				}
+				if err != nil || h.Status != want || h.Get("Attempt-Id") != fmt.Sprint(id) || want == 200 && got != ownBody(fmt.Sprint(id)) {
+					t.Errorf("%s: the answer %d is %+v %q, %v; want %d", first, id, h, got, err, want)
+				}
 			}
 		}
-	}
+	})
 }
 
 // Many clients at once, some of whom reset their connection in the middle or close half
@@ -163,59 +168,61 @@
 // filing runs once at most, and what is refused has not run.
 func TestNothingCrossesBetweenClients(t *testing.T) {
 	t.Parallel()
-	const clients, rounds = 6, 60
-	s := newStage(t, attempt.Standard())
-	s.renew()
-	var mu sync.Mutex
-	broken := func(format string, args ...any) {
-		mu.Lock()
-		defer mu.Unlock()
-		s.broken(format, args...)
-	}
-	var wg sync.WaitGroup
-	var refused sync.Map // scripts of what was refused
-	var answers atomic.Int64
-	for n := range clients {
-		wg.Go(func() {
-			rng := rand.New(rand.NewPCG(uint64(n), 1))
-			for round := range rounds {
-				if n == 0 && round%10 == 9 {
-					mu.Lock()
-					s.renew()
-					mu.Unlock()
-				}
-				nc, err := net.Dial("tcp", s.g.front.Addr().String())
-				if err != nil {
-					broken("%v", err)
-					return
+	inFakeTime(t, func(t testing.TB) {
+		const clients, rounds = 6, 60
+		s := newStage(t, attempt.Standard())
+		s.renew()
+		var mu sync.Mutex
+		broken := func(format string, args ...any) {
+			mu.Lock()
+			defer mu.Unlock()
+			s.broken(format, args...)
+		}
+		var wg sync.WaitGroup
+		var refused sync.Map // scripts of what was refused
+		var answers atomic.Int64
+		for n := range clients {
+			wg.Go(func() {
+				rng := rand.New(rand.NewPCG(uint64(n), 1))
+				for round := range rounds {
+					if n == 0 && round%10 == 9 {
+						mu.Lock()
+						s.renew()
+						mu.Unlock()
+					}
+					nc, err := dialOn(t, s.g.front.Addr().String())
+					if err != nil {
+						broken("%v", err)
+						return
+					}
+					c := &client{t, nc, nil}
+					c.SetDeadline(time.Now().Add(patience))
+					s.talk(c, fmt.Sprintf("c%d-%d", n, round), rng, broken, &refused, &answers)
+					nc.Close()
 				}
-				c := &client{t, nc, nil}
-				c.SetDeadline(time.Now().Add(patience))
-				s.talk(c, fmt.Sprintf("c%d-%d", n, round), rng, broken, &refused, &answers)
-				nc.Close()
+			})
+		}
+		wg.Wait()
+		if s.fault != "" {
+			t.Error(s.fault)
+		}
+		s.scripts.Range(func(id, sc any) bool {
+			if runs := sc.(*script).runs.Load(); runs > 1 && strings.HasSuffix(id.(string), "-once") {
+				t.Errorf("%v ran %d times", id, runs)
 			}
+			return true
 		})
-	}
-	wg.Wait()
-	if s.fault != "" {
-		t.Error(s.fault)
-	}
-	s.scripts.Range(func(id, sc any) bool {
-		if runs := sc.(*script).runs.Load(); runs > 1 && strings.HasSuffix(id.(string), "-once") {
-			t.Errorf("%v ran %d times", id, runs)
-		}
-		return true
-	})
-	refused.Range(func(id, status any) bool {
-		sc, _ := s.scripts.Load(id)
-		if sc.(*script).runs.Load() > 0 {
-			t.Errorf("%v is answered %v, but it ran", id, status)
+		refused.Range(func(id, status any) bool {
+			sc, _ := s.scripts.Load(id)
+			if sc.(*script).runs.Load() > 0 {
+				t.Errorf("%v is answered %v, but it ran", id, status)
+			}
+			return true
+		})
+		if answers.Load() < clients*rounds/2 {
+			t.Errorf("only %d answers came", answers.Load())
 		}
-		return true
 	})
-	if answers.Load() < clients*rounds/2 {
-		t.Errorf("only %d answers came", answers.Load())
-	}
 }
 
 // talk sends up to four requests behind each other on one connection and reads their
@@ -248,13 +255,13 @@
 	io.WriteString(c, all.String())
 	switch rng.IntN(5) {
 	case 0: // goes away in the middle
-		c.Conn.(*net.TCPConn).SetLinger(0)
+		c.Conn.(interface{ SetLinger(int) error }).SetLinger(0)
 		if rng.IntN(2) == 0 {
 			c.in.ReadByte()
 		}
 		return
 	case 1:
-		c.Conn.(*net.TCPConn).CloseWrite()
+		c.Conn.(interface{ CloseWrite() error }).CloseWrite()
 	}
 	for _, id := range ids {
 		h, got, err := c.answer()
@@ -288,24 +295,28 @@
 // longer than a short one may.
 func TestLongAnswersHaveTheirTime(t *testing.T) {
 	t.Parallel()
-	long := strings.Repeat("x", 2*holdAnswer)
-	g := newGateway(t, newBackend(t, good(long)))
-	g.writeFor = 0
-	c := dial(t, g)
-	c.send("GET /get/", "", "")
-	c.want(200, long)
+	inFakeTime(t, func(t testing.TB) {
+		long := strings.Repeat("x", 2*holdAnswer)
+		g := newGateway(t, newBackend(t, good(long)))
+		g.writeFor = 0
+		c := dial(t, g)
+		c.send("GET /get/", "", "")
+		c.want(200, long)
+	})
 }
 
 // Who asks before it sends a body, and is turned away, is told so at once: the body may
 // never come.
 func TestTurnedAwayBeforeTheBody(t *testing.T) {
 	t.Parallel()
-	g := newGateway(t, newBackend(t, good("yes")))
-	g.linger = 2 * patience
-	c := dial(t, g)
-	c.send("POST /none/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
-	if h := c.want(404, ""); !h.Closes() {
-		t.Errorf("%+v: whether a body follows can't be told", h)
-	}
-	c.Close()
+	inFakeTime(t, func(t testing.TB) {
+		g := newGateway(t, newBackend(t, good("yes")))
+		g.linger = 2 * patience
+		c := dial(t, g)
+		c.send("POST /none/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
+		if h := c.want(404, ""); !h.Closes() {
+			t.Errorf("%+v: whether a body follows can't be told", h)
+		}
+		c.Close()
+	})
 }
--- a/dataplane/crossing_test.go
+++ b/dataplane/crossing_test.go
@@ -20,50 +20,52 @@
 // byte. One that is whole goes back whole, however long.
 func TestFailuresThatBreakOff(t *testing.T) {
 	t.Parallel()
-	long := strings.Repeat("0123456789abcdef", 4000) // more than is held
-	for _, status := range []string{"500 x", "404 x", "504 x", "501 x"} {
-		for name, c := range map[string]struct {
-			framing, body string
-			breaks        bool
-		}{
-			"short of its length":    {framing: "Content-Length: 30", body: "half", breaks: true},
-			"within a chunk":         {framing: "Transfer-Encoding: chunked", body: "9\r\nhalf", breaks: true},
-			"between chunks":         {framing: "Transfer-Encoding: chunked", body: "4\r\nhalf\r\n", breaks: true},
-			"no chunk":               {framing: "Transfer-Encoding: chunked", body: "no chunk\r\n", breaks: true},
-			"long, short of its end": {framing: fmt.Sprintf("Content-Length: %d", len(long)+9), body: long, breaks: true},
-			"long":                   {framing: fmt.Sprintf("Content-Length: %d", len(long)), body: long},
-			"long, in chunks":        {framing: "Transfer-Encoding: chunked", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)},
-		} {
-			b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
-				if h.Target != "/once/" {
-					return good("the next one's")(w, h, body)
+	inFakeTime(t, func(t testing.TB) {
+		long := strings.Repeat("0123456789abcdef", 4000) // more than is held
+		for _, status := range []string{"500 x", "404 x", "504 x", "501 x"} {
+			for name, c := range map[string]struct {
+				framing, body string
+				breaks        bool
+			}{
+				"short of its length":    {framing: "Content-Length: 30", body: "half", breaks: true},
+				"within a chunk":         {framing: "Transfer-Encoding: chunked", body: "9\r\nhalf", breaks: true},
+				"between chunks":         {framing: "Transfer-Encoding: chunked", body: "4\r\nhalf\r\n", breaks: true},
+				"no chunk":               {framing: "Transfer-Encoding: chunked", body: "no chunk\r\n", breaks: true},
+				"long, short of its end": {framing: fmt.Sprintf("Content-Length: %d", len(long)+9), body: long, breaks: true},
+				"long":                   {framing: fmt.Sprintf("Content-Length: %d", len(long)), body: long},
+				"long, in chunks":        {framing: "Transfer-Encoding: chunked", body: fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)},
+			} {
+				b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+					if h.Target != "/once/" {
+						return good("the next one's")(w, h, body)
+					}
+					fmt.Fprintf(w, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\n%s\r\n\r\n%s", status, h.Get("Attempt-Id"), c.framing, c.body)
+					return !c.breaks
+				})
+				k := dial(t, newGateway(t, b))
+				k.send("POST /once/", "Content-Length: 4\r\n", "body")
+				k.send("GET /get/", "", "") // what would be taken for the rest
+				h, got, err := k.answer()
+				switch {
+				case !c.breaks && (err != nil || !strings.HasPrefix(status, fmt.Sprint(h.Status)) || got != long):
+					t.Errorf("%s, %s: %+v, %d bytes, %v; want the server's", status, name, h, len(got), err)
+				case c.breaks && err == nil && h.Status != 502:
+					t.Errorf("%s, %s: %+v %.40q looks complete", status, name, h, got)
+				case strings.Contains(got, "HTTP/1.1"):
+					t.Errorf("%s, %s: the answer behind it is taken for the rest", status, name)
 				}
-				fmt.Fprintf(w, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\n%s\r\n\r\n%s", status, h.Get("Attempt-Id"), c.framing, c.body)
-				return !c.breaks
-			})
-			k := dial(t, newGateway(t, b))
-			k.send("POST /once/", "Content-Length: 4\r\n", "body")
-			k.send("GET /get/", "", "") // what would be taken for the rest
-			h, got, err := k.answer()
-			switch {
-			case !c.breaks && (err != nil || !strings.HasPrefix(status, fmt.Sprint(h.Status)) || got != long):
-				t.Errorf("%s, %s: %+v, %d bytes, %v; want the server's", status, name, h, len(got), err)
-			case c.breaks && err == nil && h.Status != 502:
-				t.Errorf("%s, %s: %+v %.40q looks complete", status, name, h, got)
-			case strings.Contains(got, "HTTP/1.1"):
-				t.Errorf("%s, %s: the answer behind it is taken for the rest", status, name)
-			}
-			if err != nil { // visibly incomplete: the connection has ended with it
-				if _, err := k.in.ReadByte(); err == nil {
-					t.Errorf("%s, %s: something follows", status, name)
+				if err != nil { // visibly incomplete: the connection has ended with it
+					if _, err := k.in.ReadByte(); err == nil {
+						t.Errorf("%s, %s: something follows", status, name)
+					}
+					continue
+				}
+				if h, got, err := k.answer(); err != nil || h.Status != 200 || got != "the next one's" {
+					t.Errorf("%s, %s: the next one: %+v %q, %v", status, name, h, got, err)
 				}
-				continue
-			}
-			if h, got, err := k.answer(); err != nil || h.Status != 200 || got != "the next one's" {
-				t.Errorf("%s, %s: the next one: %+v %q, %v", status, name, h, got, err)
 			}
 		}
-	}
+	})
 }
 
 // givenUp is a connection that calls back when its deadline is taken off, as is done
@@ -116,36 +118,38 @@
 // client sends it again.
 func TestFilingsWaitForTheirTurn(t *testing.T) {
 	t.Parallel()
-	begun, breakOff := make(chan struct{}), make(chan struct{})
-	var filed atomic.Int64
-	b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
-		if h.Target == "/once/" {
-			filed.Add(1)
-			return good("filed")(w, h, body)
+	inFakeTime(t, func(t testing.TB) {
+		begun, breakOff := make(chan struct{}), make(chan struct{})
+		var filed atomic.Int64
+		b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+			if h.Target == "/once/" {
+				filed.Add(1)
+				return good("filed")(w, h, body)
+			}
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", 2*holdAnswer, strings.Repeat("x", holdAnswer))
+			close(begun)
+			<-breakOff
+			return false
+		})
+		g := newGateway(t, b)
+		c := dial(t, g)
+		c.send("GET /get/", "", "")
+		<-begun
+		c.send("POST /once/", "Content-Length: 4\r\n", "body")
+		untilRead(t, g, 2)
+		close(breakOff)
+		if h, _, err := c.answer(); err == nil {
+			t.Errorf("%+v looks complete", h)
+		}
+		untilGone(t, g)
+		if n := filed.Load(); n != 0 {
+			t.Errorf("ran %d times behind an answer that ended the connection", n)
 		}
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", 2*holdAnswer, strings.Repeat("x", holdAnswer))
-		close(begun)
-		<-breakOff
-		return false
 	})
-	g := newGateway(t, b)
-	c := dial(t, g)
-	c.send("GET /get/", "", "")
-	<-begun
-	c.send("POST /once/", "Content-Length: 4\r\n", "body")
-	untilRead(t, g, 2)
-	close(breakOff)
-	if h, _, err := c.answer(); err == nil {
-		t.Errorf("%+v looks complete", h)
-	}
-	untilGone(t, g)
-	if n := filed.Load(); n != 0 {
-		t.Errorf("ran %d times behind an answer that ended the connection", n)
-	}
 }
 
 // untilRead waits until a gateway's only connection has had so many requests.
-func untilRead(t *testing.T, g *Gateway, n int) {
+func untilRead(t testing.TB, g *Gateway, n int) {
 	t.Helper()
 	wait(t, func() bool {
 		for c := range g.conns {
@@ -158,13 +162,13 @@
 }
 
 // untilGone waits until a gateway has no connection of clients.
-func untilGone(t *testing.T, g *Gateway) {
+func untilGone(t testing.TB, g *Gateway) {
 	t.Helper()
 	wait(t, func() bool { return len(g.conns) == 0 }, g)
 }
 
 // wait waits until something holds, which is asked under the gateway's mutex.
-func wait(t *testing.T, holds func() bool, g *Gateway) {
+func wait(t testing.TB, holds func() bool, g *Gateway) {
 	t.Helper()
 	for end := time.Now().Add(patience); ; time.Sleep(time.Millisecond) {
 		g.mu.Lock()
@@ -182,53 +186,57 @@
 // What announces that a body is welcome does not stand inside another answer.
 func TestContinueWaitsForItsTurn(t *testing.T) {
 	t.Parallel()
-	const n = 2 * holdAnswer
-	body := strings.Repeat("x", n)
-	begun, goOn := make(chan struct{}), make(chan struct{})
-	b := newBackend(t, func(w io.Writer, h *h1.Head, got []byte) bool {
-		if h.Target == "/once/" {
-			return good(string(got))(w, h, nil)
+	inFakeTime(t, func(t testing.TB) {
+		const n = 2 * holdAnswer
+		body := strings.Repeat("x", n)
+		begun, goOn := make(chan struct{}), make(chan struct{})
+		b := newBackend(t, func(w io.Writer, h *h1.Head, got []byte) bool {
+			if h.Target == "/once/" {
+				return good(string(got))(w, h, nil)
+			}
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", n, body[:n/2])
+			close(begun)
+			<-goOn
+			io.WriteString(w, body[n/2:])
+			return true
+		})
+		g := newGateway(t, b)
+		c := dial(t, g)
+		c.send("GET /get/", "", "")
+		<-begun
+		if h, err := h1.ReadAnswer(c.in, 1<<16); err != nil || h.Status != 200 {
+			t.Fatalf("%+v, %v", h, err)
+		}
+		c.send("POST /once/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
+		untilRead(t, g, 2)
+		close(goOn)
+		got := make([]byte, n)
+		if _, err := io.ReadFull(c.in, got); err != nil || string(got) != body {
+			t.Errorf("the first body holds what is not its own: %v", err)
+		}
+		if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+			t.Fatalf("%q, %v", line, err)
 		}
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: %d\r\n\r\n%s", n, body[:n/2])
-		close(begun)
-		<-goOn
-		io.WriteString(w, body[n/2:])
-		return true
+		if _, err := c.in.ReadString('\n'); err != nil {
+			t.Fatal(err)
+		}
+		io.WriteString(c, "body")
+		c.want(200, "body")
 	})
-	g := newGateway(t, b)
-	c := dial(t, g)
-	c.send("GET /get/", "", "")
-	<-begun
-	if h, err := h1.ReadAnswer(c.in, 1<<16); err != nil || h.Status != 200 {
-		t.Fatalf("%+v, %v", h, err)
-	}
-	c.send("POST /once/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
-	untilRead(t, g, 2)
-	close(goOn)
-	got := make([]byte, n)
-	if _, err := io.ReadFull(c.in, got); err != nil || string(got) != body {
-		t.Errorf("the first body holds what is not its own: %v", err)
-	}
-	if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
-		t.Fatalf("%q, %v", line, err)
-	}
-	if _, err := c.in.ReadString('\n'); err != nil {
-		t.Fatal(err)
-	}
-	io.WriteString(c, "body")
-	c.want(200, "body")
 }
 
 // A request without an id is not sent: its answer could not be told from another's.
 func TestNothingGoesWithoutAnId(t *testing.T) {
 	t.Parallel()
-	b := newBackend(t, good("yes"))
-	c := dial(t, newGateway(t, b))
-	fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nContent-Length: 4\r\n\r\nbody")
-	c.want(400, "")
-	if n := b.seen.Load(); n != 0 {
-		t.Errorf("it was sent %d times", n)
-	}
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, good("yes"))
+		c := dial(t, newGateway(t, b))
+		fmt.Fprint(c, "POST /once/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token k\r\nContent-Length: 4\r\n\r\nbody")
+		c.want(400, "")
+		if n := b.seen.Load(); n != 0 {
+			t.Errorf("it was sent %d times", n)
+		}
+	})
 }
 
 // Fields that are for the server stay, also where a client or a server calls them its
@@ -236,19 +244,21 @@
 // seal an answer is nobody's (RFC 9110, 7.6.1).
 func TestWhatIsForAllIsPassedOn(t *testing.T) {
 	t.Parallel()
-	b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
-		fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nConnection: Server-Seal, Attempt-Id, X\r\nX: 1\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
-		return true
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, h *h1.Head, _ []byte) bool {
+			fmt.Fprintf(w, "HTTP/1.1 200 OK\r\nConnection: Server-Seal, Attempt-Id, X\r\nX: 1\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
+			return true
+		})
+		c := dial(t, newGateway(t, b))
+		c.send("GET /get/", "Connection: Host, Attempt-Id, Y\r\nY: 1\r\n", "")
+		h := c.want(200, "")
+		if h.Get("Server-Seal") != "s" || h.Get("Attempt-Id") != "a1" || h.Get("X") != "" {
+			t.Errorf("the client gets %+v", h)
+		}
+		if got := b.last.Load(); got.Get("Host") != "h" || got.Get("Attempt-Id") != "a1" || got.Get("Y") != "" {
+			t.Errorf("the server gets %+v", got)
+		}
 	})
-	c := dial(t, newGateway(t, b))
-	c.send("GET /get/", "Connection: Host, Attempt-Id, Y\r\nY: 1\r\n", "")
-	h := c.want(200, "")
-	if h.Get("Server-Seal") != "s" || h.Get("Attempt-Id") != "a1" || h.Get("X") != "" {
-		t.Errorf("the client gets %+v", h)
-	}
-	if got := b.last.Load(); got.Get("Host") != "h" || got.Get("Attempt-Id") != "a1" || got.Get("Y") != "" {
-		t.Errorf("the server gets %+v", got)
-	}
 }
 
 // What a server says before it has had the whole body counts: that it has not run the
--- a/dataplane/forgotten_test.go
+++ b/dataplane/forgotten_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"net"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -16,61 +15,59 @@
 // 14,235 filings, as each limiter had to learn it by several.)
 func TestForgottenConnections(t *testing.T) {
 	t.Parallel()
-	const rest = 60 * time.Millisecond // more than the youngest group's, and so old enough to be forgotten
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	var forgets atomic.Bool
-	go func() {
-		for {
-			c, err := l.Accept()
+	inFakeTime(t, func(t testing.TB) {
+		const rest = 60 * time.Millisecond // more than the youngest group's, and so old enough to be forgotten
+		l := listenOn(t)
+		var forgets atomic.Bool
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go func() {
+					defer c.Close()
+					in := bufio.NewReader(c)
+					for first := true; ; first = false {
+						c.SetDeadline(time.Now().Add(patience))
+						if _, err := in.Peek(1); err != nil {
+							return
+						}
+						if !first && forgets.Load() {
+							c.(interface{ SetLinger(int) error }).SetLinger(0)
+							return
+						}
+						h, body, err := h1.ReadWhole(in, 1<<16)
+						if err != nil || !good("filed")(c, h, body) {
+							return
+						}
+					}
+				}()
+			}
+		}()
+		g := newGateway(t, &backend{addr: l.Addr().String()})
+		k := dial(t, g)
+		file := func() int {
+			for g.pool.Idle("i-0") > 0 && g.pool.Rest("i-0") < rest {
+				time.Sleep(time.Millisecond)
+			}
+			k.send("POST /once/", "Content-Length: 4\r\n", "body")
+			h, _, err := k.answer()
 			if err != nil {
-				return
+				t.Fatal(err)
 			}
-			go func() {
-				defer c.Close()
-				in := bufio.NewReader(c)
-				for first := true; ; first = false {
-					c.SetDeadline(time.Now().Add(patience))
-					if _, err := in.Peek(1); err != nil {
-						return
-					}
-					if !first && forgets.Load() {
-						c.(*net.TCPConn).SetLinger(0)
-						return
-					}
-					h, body, err := h1.ReadWhole(in, 1<<16)
-					if err != nil || !good("filed")(c, h, body) {
-						return
-					}
-				}
-			}()
+			return h.Status
 		}
-	}()
-	g := newGateway(t, &backend{addr: l.Addr().String()})
-	k := dial(t, g)
-	file := func() int {
-		for g.pool.Idle("i-0") > 0 && g.pool.Rest("i-0") < rest {
-			time.Sleep(time.Millisecond)
+		file()
+		forgets.Store(true)
+		if status := file(); status != 502 {
+			t.Errorf("the first is answered %d", status)
 		}
-		k.send("POST /once/", "Content-Length: 4\r\n", "body")
-		h, _, err := k.answer()
-		if err != nil {
-			t.Fatal(err)
-		}
-		return h.Status
-	}
-	file()
-	forgets.Store(true)
-	if status := file(); status != 502 {
-		t.Errorf("the first is answered %d", status)
-	}
-	g.pool.Forgot(2, 7)
-	for range 6 {
-		if status := file(); status != 200 {
-			t.Errorf("a later one is answered %d", status)
+		g.pool.Forgot(2, 7)
+		for range 6 {
+			if status := file(); status != 200 {
+				t.Errorf("a later one is answered %d", status)
+			}
 		}
-	}
+	})
 }
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -20,7 +20,8 @@
 	"example.org/elmspan/telemetry"
 )
 
-const patience = 20 * time.Second
+// patience is for what hangs. No verdict hangs on it.
+const patience = 2 * time.Minute
 
 // backend is a stand-in for a server: it answers each request as it is told to.
 type backend struct {
@@ -86,10 +87,11 @@
 	cfg := &settings.Node{Name: "n", IP: "127.0.0.1", Zone: "z", Internal: []int{0, 9}, Served: []string{"edge", "control"},
 		Listeners: settings.Listeners{Front: "127.0.0.1:0", Ready: "127.0.0.1:0"},
 		Timing:    timing}
-	upstream, timeout := settings.DefaultTuning().Upstream, 3000.0
+	upstream, timeout, limits := settings.DefaultTuning().Upstream, 3000.0, api.RequestLimits{MaxHeaderBytes: 2000, MaxBodyBytes: 1 << 20}
 	if _, fake := t.(inMemory); !fake { // a busy machine's time says nothing: limits are for what hangs
-		upstream.ConnectMs, timeout = inMs(patience), inMs(3*patience)
-		timing.RevokeMs *= 100
+		upstream.ConnectMs, timeout = inMs(patience), inMs(patience)
+		limits.HeaderTimeoutMs, limits.IdleTimeoutMs = inMs(patience), inMs(2*patience)
+		timing.RevokeMs *= 1000
 	}
 	g, err := New(cfg, Options{Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: upstream, Metrics: telemetry.New()})
 	if err != nil {
@@ -102,7 +104,7 @@
 			{Host: "h", Prefix: "/once/", Type: "non_idempotent", TimeoutMs: timeout, TargetMs: 2000, Upstream: "s", Retries: 2},
 			{Host: "h", Prefix: "/open/", Type: api.Idempotent, TimeoutMs: timeout, Upstream: "s", Retries: 1, Anonymous: true},
 		},
-		Limits:  api.RequestLimits{MaxHeaderBytes: 2000, MaxBodyBytes: 1 << 20},
+		Limits:  limits,
 		Tenants: []api.Tenant{{Name: "t", Keys: []string{"k"}}, {Name: "slow", Keys: []string{"few"}, Rate: 0.001, Burst: 2}}})
 	var list []api.Server
 	for i, b := range backends {
@@ -187,165 +189,175 @@
 // What is turned away, and how; the connection goes on where it can.
 func TestTurnedAway(t *testing.T) {
 	t.Parallel()
-	g := newGateway(t, newBackend(t, good("yes")))
-	c := dial(t, g)
-	c.send("GET /none/", "", "")
-	c.want(404, "")
-	fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token bad\r\n\r\n")
-	c.want(401, "")
-	for range 2 {
-		fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: b\r\nAuthorization: Token few\r\n\r\n")
-		c.want(200, "yes")
-	}
-	fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token few\r\n\r\n")
-	if h := c.want(429, ""); h.Get("Retry-After") == "" {
-		t.Error("no Retry-After")
-	}
-	c.send("POST /once/", "Content-Length: 9999999\r\n", "")
-	c.want(413, "")
-	for text, code := range map[string]int{
-		"POST /once/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n": 400,
-		"GET /get/ HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n":                                           400,
-		"GET /get/ HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n":              431,
-	} {
+	inFakeTime(t, func(t testing.TB) {
+		g := newGateway(t, newBackend(t, good("yes")))
 		c := dial(t, g)
-		fmt.Fprint(c, text)
-		c.want(code, "")
-		if _, err := c.in.ReadByte(); err == nil {
-			t.Errorf("%d and the connection goes on", code)
+		c.send("GET /none/", "", "")
+		c.want(404, "")
+		fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token bad\r\n\r\n")
+		c.want(401, "")
+		for range 2 {
+			fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: b\r\nAuthorization: Token few\r\n\r\n")
+			c.want(200, "yes")
 		}
-	}
-	g.leaseTo.Store(0) // no word of the core: keys can't be trusted
-	c = dial(t, g)
-	c.send("GET /get/", "", "")
-	if h := c.want(503, ""); h.Get("Retry-After") == "" {
-		t.Error("no Retry-After")
-	}
-	c.send("GET /open/", "", "")
-	c.want(200, "yes")
+		fmt.Fprint(c, "GET /get/ HTTP/1.1\r\nHost: h\r\nAuthorization: Token few\r\n\r\n")
+		if h := c.want(429, ""); h.Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+		c.send("POST /once/", "Content-Length: 9999999\r\n", "")
+		c.want(413, "")
+		for text, code := range map[string]int{
+			"POST /once/ HTTP/1.1\r\nHost: h\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n": 400,
+			"GET /get/ HTTP/1.1\r\nHost: h\r\nHost: i\r\n\r\n":                                           400,
+			"GET /get/ HTTP/1.1\r\nHost: h\r\nX: " + strings.Repeat("x", 3000) + "\r\n\r\n":              431,
+		} {
+			c := dial(t, g)
+			fmt.Fprint(c, text)
+			c.want(code, "")
+			if _, err := c.in.ReadByte(); err == nil {
+				t.Errorf("%d and the connection goes on", code)
+			}
+		}
+		g.leaseTo.Store(0) // no word of the core: keys can't be trusted
+		c = dial(t, g)
+		c.send("GET /get/", "", "")
+		if h := c.want(503, ""); h.Get("Retry-After") == "" {
+			t.Error("no Retry-After")
+		}
+		c.send("GET /open/", "", "")
+		c.want(200, "yes")
+	})
 }
 
 // A request that must not run twice goes to a second server only where the
 // first says that it has not run it; else the client is promised nothing.
 func TestRunsOnce(t *testing.T) {
 	t.Parallel()
-	for name, first := range map[string]func(io.Writer, *h1.Head, []byte) bool{
-		"cut":               func(io.Writer, *h1.Head, []byte) bool { return false },
-		"503 without proof": status("503 x"),
-		"429 without proof": status("429 x"),
-		"nonsense":          func(w io.Writer, _ *h1.Head, _ []byte) bool { io.WriteString(w, "nonsense\r\n\r\n"); return false },
-		"another's answer": func(w io.Writer, _ *h1.Head, _ []byte) bool {
-			io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
-			return false
-		},
-		"nobody's answer": func(w io.Writer, _ *h1.Head, _ []byte) bool {
-			io.WriteString(w, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
-			return true
-		},
-		"nobody's promise": func(w io.Writer, _ *h1.Head, _ []byte) bool {
-			io.WriteString(w, "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
-			return true
-		},
-		"no seal": status("200 OK"),
-		"cut short": func(w io.Writer, _ *h1.Head, _ []byte) bool {
-			io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf")
-			return false
-		},
-	} {
-		a := newBackend(t, first)
-		c := dial(t, newGateway(t, a, newBackend(t, first)))
+	inFakeTime(t, func(t testing.TB) {
+		for name, first := range map[string]func(io.Writer, *h1.Head, []byte) bool{
+			"cut":               func(io.Writer, *h1.Head, []byte) bool { return false },
+			"503 without proof": status("503 x"),
+			"429 without proof": status("429 x"),
+			"nonsense":          func(w io.Writer, _ *h1.Head, _ []byte) bool { io.WriteString(w, "nonsense\r\n\r\n"); return false },
+			"another's answer": func(w io.Writer, _ *h1.Head, _ []byte) bool {
+				io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt-Id: other\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
+				return false
+			},
+			"nobody's answer": func(w io.Writer, _ *h1.Head, _ []byte) bool {
+				io.WriteString(w, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 0\r\n\r\n")
+				return true
+			},
+			"nobody's promise": func(w io.Writer, _ *h1.Head, _ []byte) bool {
+				io.WriteString(w, "HTTP/1.1 503 x\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")
+				return true
+			},
+			"no seal": status("200 OK"),
+			"cut short": func(w io.Writer, _ *h1.Head, _ []byte) bool {
+				io.WriteString(w, "HTTP/1.1 200 OK\r\nAttempt-Id: a1\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf")
+				return false
+			},
+		} {
+			a := newBackend(t, first)
+			c := dial(t, newGateway(t, a, newBackend(t, first)))
+			c.send("POST /once/", "Content-Length: 4\r\n", "body")
+			c.want(502, "")
+			if a.seen.Load() > 1 {
+				t.Errorf("%s: ran %d times", name, a.seen.Load())
+			}
+		}
+		shed := status("503 x\r\nNot-Executed: 1")
+		a, b := newBackend(t, shed), newBackend(t, shed)
+		c := dial(t, newGateway(t, a, b))
 		c.send("POST /once/", "Content-Length: 4\r\n", "body")
-		c.want(502, "")
-		if a.seen.Load() > 1 {
-			t.Errorf("%s: ran %d times", name, a.seen.Load())
+		if h := c.want(503, ""); h.Get("Retry-After") == "" || a.seen.Load()+b.seen.Load() != 2 {
+			t.Errorf("%+v, %d and %d", h, a.seen.Load(), b.seen.Load())
 		}
-	}
-	shed := status("503 x\r\nNot-Executed: 1")
-	a, b := newBackend(t, shed), newBackend(t, shed)
-	c := dial(t, newGateway(t, a, b))
-	c.send("POST /once/", "Content-Length: 4\r\n", "body")
-	if h := c.want(503, ""); h.Get("Retry-After") == "" || a.seen.Load()+b.seen.Load() != 2 {
-		t.Errorf("%+v, %d and %d", h, a.seen.Load(), b.seen.Load())
-	}
+	})
 }
 
 // A repeatable request gets over a server that breaks off, spoils or refuses.
 func TestTriesAnother(t *testing.T) {
 	t.Parallel()
-	for name, first := range map[string]func(io.Writer, *h1.Head, []byte) bool{
-		"cut":   func(io.Writer, *h1.Head, []byte) bool { return false },
-		"500":   status("500 x"),
-		"moved": status("421 x"),
-		"cut short": func(w io.Writer, _ *h1.Head, _ []byte) bool {
-			io.WriteString(w, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf")
-			return false
-		},
-	} {
-		var odd atomic.Bool
-		odd.Store(true)
-		either := func(w io.Writer, h *h1.Head, body []byte) bool { // whichever is asked first fails
-			if odd.Swap(false) {
-				return first(w, h, body)
+	inFakeTime(t, func(t testing.TB) {
+		for name, first := range map[string]func(io.Writer, *h1.Head, []byte) bool{
+			"cut":   func(io.Writer, *h1.Head, []byte) bool { return false },
+			"500":   status("500 x"),
+			"moved": status("421 x"),
+			"cut short": func(w io.Writer, _ *h1.Head, _ []byte) bool {
+				io.WriteString(w, "HTTP/1.1 200 OK\r\nServer-Seal: s\r\nContent-Length: 9\r\n\r\nhalf")
+				return false
+			},
+		} {
+			var odd atomic.Bool
+			odd.Store(true)
+			either := func(w io.Writer, h *h1.Head, body []byte) bool { // whichever is asked first fails
+				if odd.Swap(false) {
+					return first(w, h, body)
+				}
+				return good("yes")(w, h, body)
+			}
+			c := dial(t, newGateway(t, newBackend(t, either), newBackend(t, either)))
+			for range 12 { // further tries are saved up
+				c.send("GET /open/", "", "")
+				c.answer()
+			}
+			odd.Store(true)
+			c.send("GET /get/", "", "")
+			if h, body, err := c.answer(); err != nil || h.Status != 200 || body != "yes" {
+				t.Errorf("%s: %+v %q, %v", name, h, body, err)
 			}
-			return good("yes")(w, h, body)
-		}
-		c := dial(t, newGateway(t, newBackend(t, either), newBackend(t, either)))
-		for range 12 { // further tries are saved up
-			c.send("GET /open/", "", "")
-			c.answer()
-		}
-		odd.Store(true)
-		c.send("GET /get/", "", "")
-		if h, body, err := c.answer(); err != nil || h.Status != 200 || body != "yes" {
-			t.Errorf("%s: %+v %q, %v", name, h, body, err)
 		}
-	}
+	})
 }
 
 // With most servers refusing, further tries stay within what is saved up: also
 // those that a server turned away count.
 func TestRetryBudget(t *testing.T) {
 	t.Parallel()
-	shed := status("503 x\r\nNot-Executed: 1")
-	var bs []*backend
-	for range 30 {
-		bs = append(bs, newBackend(t, shed))
-	}
-	g := newGatewayOf(t, settings.Timing{GraceS: 3, RetryRatio: 0.1, RetrySlack: 5}, bs...)
-	const n = 200
-	c := dial(t, g)
-	for range n {
-		c.send("GET /get/", "", "")
-		if _, _, err := c.answer(); err != nil {
-			t.Fatal(err)
+	inFakeTime(t, func(t testing.TB) {
+		shed := status("503 x\r\nNot-Executed: 1")
+		var bs []*backend
+		for range 30 {
+			bs = append(bs, newBackend(t, shed))
 		}
-	}
-	came := int64(0)
-	for _, b := range bs {
-		came += b.seen.Load()
-	}
-	if came > n+n/10+5 {
-		t.Errorf("%d arrivals for %d requests, budget 0.1 and 5", came, n)
-	}
+		g := newGatewayOf(t, settings.Timing{GraceS: 3, RetryRatio: 0.1, RetrySlack: 5}, bs...)
+		const n = 200
+		c := dial(t, g)
+		for range n {
+			c.send("GET /get/", "", "")
+			if _, _, err := c.answer(); err != nil {
+				t.Fatal(err)
+			}
+		}
+		came := int64(0)
+		for _, b := range bs {
+			came += b.seen.Load()
+		}
+		if came > n+n/10+5 {
+			t.Errorf("%d arrivals for %d requests, budget 0.1 and 5", came, n)
+		}
+	})
 }
 
 // Requests sent behind each other are worked on at once and answered in order.
 func TestPipelined(t *testing.T) {
 	t.Parallel()
-	release := make(chan struct{})
-	b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
-		if h.Target == "/get/first" {
-			<-release
-		} else {
-			close(release) // the second is at work before the first is done
-		}
-		return good(h.Target)(w, h, body)
+	inFakeTime(t, func(t testing.TB) {
+		release := make(chan struct{})
+		b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+			if h.Target == "/get/first" {
+				<-release
+			} else {
+				close(release) // the second is at work before the first is done
+			}
+			return good(h.Target)(w, h, body)
+		})
+		c := dial(t, newGateway(t, b))
+		c.send("GET /get/first", "", "")
+		c.send("GET /get/second", "", "")
+		c.want(200, "/get/first")
+		c.want(200, "/get/second")
 	})
-	c := dial(t, newGateway(t, b))
-	c.send("GET /get/first", "", "")
-	c.send("GET /get/second", "", "")
-	c.want(200, "/get/first")
-	c.want(200, "/get/second")
 }
 
 // Long bodies pass through in pieces, in both framings, and what breaks off
--- a/dataplane/memory_test.go
+++ b/dataplane/memory_test.go
@@ -24,13 +24,15 @@
 	conns     []net.Conn // all that there were
 }
 
-// end closes all connections.
+// end closes all connections, and has what still sleeps wake up: time passes no more
+// once the test has ended.
 func (m *memory) end() {
 	m.mu.Lock()
-	defer m.mu.Unlock()
 	for _, c := range m.conns {
 		c.Close()
 	}
+	m.mu.Unlock()
+	time.Sleep(time.Hour)
 }
 
 // inMemory is a test in a bubble of its own, whose helpers use a network in memory.
@@ -43,7 +45,7 @@
 func inFakeTime(t *testing.T, test func(t testing.TB)) {
 	synctest.Test(t, func(t *testing.T) {
 		m := &memory{listeners: map[string]*memListener{}}
-		t.Cleanup(m.end) // time stands still by then: nothing ends by it
+		t.Cleanup(m.end)
 		test(inMemory{t, m})
 	})
 }
--- a/dataplane/model_test.go
+++ b/dataplane/model_test.go
@@ -240,12 +240,23 @@
 				return
 			}
 		}
+		if !m.early {
+			s.work()
+		}
 		if !m.do(a) {
 			return
 		}
 	}
 }
 
+// work takes a moment of fake time, so that what is usual is learnt: a second server is
+// tried beside one that takes longer.
+func (s *stage) work() {
+	if _, fake := s.t.(inMemory); fake {
+		time.Sleep(time.Millisecond)
+	}
+}
+
 func newStage(t testing.TB, rules attempt.Rules) *stage {
 	s := &stage{t: t}
 	for range 3 {
@@ -301,8 +312,7 @@
 		s.g.limiter.SaveUp("s")
 	}
 	s.g.mu.Unlock()
-	rested := s.c != nil
-	if !rested {
+	if s.c == nil {
 		s.c = dial(s.t, s.g)
 	}
 	s.c.SetDeadline(time.Now().Add(patience))
@@ -325,10 +335,6 @@
 	fmt.Fprintf(s.c, "%s HTTP/1.1\r\nHost: h\r\nAttempt-Id: %s\r\nAuthorization: Token k\r\n%s%s\r\n%s", line, id, budget, fields, body)
 	what := fmt.Sprintf("%s, %s, then %s", kind, first.name, second.name)
 	h, err := h1.ReadAnswer(s.c.in, 1<<16)
-	if err == io.EOF && rested && sc.arrivals.Load() == 0 { // closed unread, as it rested too long
-		s.hangUp()
-		return s.ask(kind, first, second)
-	}
 	if err != nil {
 		s.broken("%s: no answer: %v", what, err)
 		s.hangUp()
@@ -570,7 +576,6 @@
 					if whole := err == nil && got == long; whole != (takes < budget) || took != min(takes, budget) {
 						t.Errorf("%s, %s that takes %v: %d bytes and %v after %v", kind, status, takes, len(got), err, took)
 					}
-					time.Sleep(takes) // the server is done too
 				})
 			}
 		}
@@ -628,33 +633,35 @@
 // comes on a connection that is closed by then, and the next requests get their own.
 func TestLateAnswerOfTheSlowerOne(t *testing.T) {
 	t.Parallel()
-	s := newStage(t, attempt.Standard())
-	s.renew()
-	for range 10 { // what is usual is learnt
-		s.warm()
-	}
-	answered, late := make(chan struct{}), make(chan error, 1)
-	slow := move{name: "answers late", runs: true, do: func(a *asked) bool {
-		<-answered
-		a.say(strings.ReplaceAll(a.whole(), "own:", secret))
-		_, err := a.in.ReadByte() // the connection has ended, whatever was sent on it
-		late <- err
-		return false
-	}}
-	status, sc := s.ask("get", &slow, &fine)
-	close(answered)
-	if status != 200 || sc.arrivals.Load() != 2 {
-		t.Fatalf("answered %d, %d servers had it", status, sc.arrivals.Load())
-	}
-	if err := <-late; err == nil {
-		t.Error("the connection of the slower one goes on")
-	}
-	for range 10 {
-		if status, sc := s.ask("once", &fine, &fine); status != 200 || sc.runs.Load() != 1 {
-			t.Errorf("the next one is answered %d, ran %d times", status, sc.runs.Load())
+	inFakeTime(t, func(t testing.TB) {
+		s := newStage(t, attempt.Standard())
+		s.renew()
+		for range 10 { // what is usual is learnt
+			s.warm()
 		}
-	}
-	if s.fault != "" {
-		t.Error(s.fault)
-	}
+		answered, late := make(chan struct{}), make(chan error, 1)
+		slow := move{name: "answers late", runs: true, do: func(a *asked) bool {
+			<-answered
+			a.say(strings.ReplaceAll(a.whole(), "own:", secret))
+			_, err := a.in.ReadByte() // the connection has ended, whatever was sent on it
+			late <- err
+			return false
+		}}
+		status, sc := s.ask("get", &slow, &fine)
+		close(answered)
+		if status != 200 || sc.arrivals.Load() != 2 {
+			t.Fatalf("answered %d, %d servers had it", status, sc.arrivals.Load())
+		}
+		if err := <-late; err == nil {
+			t.Error("the connection of the slower one goes on")
+		}
+		for range 10 {
+			if status, sc := s.ask("once", &fine, &fine); status != 200 || sc.runs.Load() != 1 {
+				t.Errorf("the next one is answered %d, ran %d times", status, sc.runs.Load())
+			}
+		}
+		if s.fault != "" {
+			t.Error(s.fault)
+		}
+	})
 }
