A store of a newer format is told from a corrupt one

A program took a store that a newer one had written for corrupt and would begin anew, so a core rolled back at once would lose everything confirmed. The store names its format and the least reader in FORMAT.n, synced before anything of it is written; who can't read it gets ErrNewer, and nothing on the disk changes. The highest file that can be read counts, as with CURRENT.n: a slot in the seal was weighed, and would tie the seal's form for good.

--- a/agreement/logstore/logstore.go
+++ b/agreement/logstore/logstore.go
@@ -81,7 +81,8 @@
 }
 
 // Open opens the store in a folder, which is made where it isn't there. It is
-// ErrCorrupt where something promised is missing. A disk that can be read and
+// ErrCorrupt where something promised is missing, and ErrNewer where a newer program
+// wrote what this one can't read. A disk that can be read and
 // takes no writes is no error: the store can be read, and Save fails until the
 // disk takes writes again. Other errors say nothing of what is on the disk.
 func Open(dir string) (*Store, error) { return openAt(osFS{}, dir) }
--- a/agreement/logstore/open.go
+++ b/agreement/logstore/open.go
@@ -94,6 +94,9 @@
 func (s *Store) load() error {
 	s.shut()
 	s.broken = nil
+	if err := s.admit(); err != nil {
+		return err
+	}
 	found, err := s.present()
 	if err != nil {
 		return err
@@ -164,6 +167,9 @@
 func (s *Store) begin(found bool) (err error) {
 	want := s.image.mark()
 	s.closeDB()
+	if err := s.stamp(); err != nil {
+		return err
+	}
 	if s.seal != nil {
 		err = s.seal.renew()
 	} else if err = errors.Join(s.nameLasts(), makeSeal(s.fs, s.dir, s.path(sealName), want)); err == nil {
