A member whose store is lost while the process runs comes back as a new one

ErrCorrupt on opening a store again kept the member silent until its process was started again; and a process over a store of a newer format (ErrNewer) must not begin anew. process.host now holds the member: Core.Run ends with ErrCorrupt, the host resets the store behind the same mark and begins a new member (new id, never bootstrap), trying again each second while the disk fails; calls meanwhile get Unavailable and go to others. Over a newer format no member takes part, the gateway serves, status has CoreOut. Ending the process was weighed: it carries the machine's traffic. CoreConfig.Store is the interface that Core uses, so that tests can put a failing store there. A test changed: TestDamagedStoreStartsAsNewMember reads p.host.store, where the store is now.

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -40,7 +40,7 @@
 // wants, and for news whichever member comes first for this process.
 type Client struct {
 	Conns *api.Conns
-	Local *Core // where this process is a member; else nil
+	Local *Core // where this process is a member; else nil. While calls are made: SetLocal
 	Log   *slog.Logger
 	Name  string // of this process: which member serves it first depends on it
 	// Status, where set, is shown as JSON at /v1/Status.
@@ -174,12 +174,25 @@
 	}
 }
 
+// SetLocal tells which member is in this process, nil for none.
+func (c *Client) SetLocal(l *Core) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.Local = l
+}
+
+func (c *Client) local() *Core {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.Local
+}
+
 // toLeader calls until a process can say what came of it, or the context ends.
 func (c *Client) toLeader(ctx context.Context, local func(*Core) (*api.Result, error),
 	remote func(context.Context, *grpc.ClientConn) (*api.Result, error)) api.Result {
 	for ctx.Err() == nil {
-		if c.Local != nil && c.Local.Leads() {
-			if r, err := local(c.Local); err == nil && r.Status != 0 {
+		if l := c.local(); l != nil && l.Leads() {
+			if r, err := local(l); err == nil && r.Status != 0 {
 				return *r
 			}
 		} else if addr := c.Next(); addr != "" {
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"log/slog"
 	"math/rand/v2"
@@ -30,12 +31,21 @@
 	Seeds     []string // internal addresses; the first voters where Bootstrap is set
 	Bootstrap bool
 	Voters    int // wanted
-	Store     *logstore.Store
+	Store     Store
 	Conns     *api.Conns
 	Log       *slog.Logger
 	Seed      uint64
 }
 
+// Store keeps a member's promises: a [logstore.Store], which says what each error means.
+type Store interface {
+	Identity() (agreement.ID, error)
+	Begin(agreement.ID, agreement.Snapshot) error
+	Load() (agreement.Stored, error)
+	Save(agreement.Ready) error
+	Compact(agreement.Snapshot) error
+}
+
 // Core is one member of the core: the host of an [agreement.Node].
 type Core struct {
 	cfg CoreConfig
@@ -57,6 +67,7 @@
 	// halted says why, as this member can't carry on what the others agreed on.
 	diskDown bool
 	halted   string
+	lost     error    // what was promised is gone from the disk: Run ends with it
 	decoded  *decoded // the snapshot that was checked last, until it is taken over
 	unread   uint64   // index of the last snapshot that can't be read, to say so once
 	refused  uint64   // snapshots that came and were not taken over, as far as logged
@@ -187,14 +198,35 @@
 // not answer from something older. Nothing of it is lost: its log stays as it is.
 func (c *Core) halt(why string, err error) {
 	c.cfg.Log.Error("this member takes no part any more, until it is started with a program that can", "why", why, "err", err)
+	c.retire(why, err)
+}
+
+// retire has this member promise and answer nothing any more.
+func (c *Core) retire(why string, err error) {
 	c.halted, c.diskDown = fmt.Sprintf("%s: %v", why, err), true
 	c.node.Resign()
 	c.note()
 	c.signal()
 }
 
-// Run takes part until the context ends; then it hands leadership on.
-func (c *Core) Run(ctx context.Context) {
+// amnesia ends this member's part where an error tells that its store has lost what was
+// promised.
+func (c *Core) amnesia(err error) bool {
+	if !errors.Is(err, logstore.ErrCorrupt) {
+		return false
+	}
+	c.lost = err
+	c.retire("what was promised is gone from the disk", err)
+	return true
+}
+
+// Run takes part until the context ends; then it hands leadership on. Where the store
+// loses something meanwhile it returns [logstore.ErrCorrupt] at once: the member must
+// not go on, as it can't tell what it has promised, and one with a new id begins in its
+// place.
+func (c *Core) Run(ctx context.Context) error {
+	ctx, stop := context.WithCancel(ctx)
+	defer stop()
 	c.mu.Lock()
 	c.ctx = ctx
 	c.mu.Unlock()
@@ -209,7 +241,7 @@
 			c.signal()
 			c.mu.Unlock()
 			c.tasks.Wait()
-			return
+			return nil
 		case <-t.C:
 		}
 		c.mu.Lock()
@@ -220,6 +252,12 @@
 			c.tend()
 		}
 		c.process()
+		if err := c.lost; err != nil {
+			c.mu.Unlock()
+			stop()
+			c.tasks.Wait()
+			return err
+		}
 		stray := c.node.Leader() == 0 || !slices.ContainsFunc(c.node.Members(), func(m agreement.Member) bool { return m.ID == c.id })
 		ask := stray && !c.diskDown && c.ticks%8 == 0
 		c.mu.Unlock()
@@ -246,6 +284,9 @@
 		}
 		if r.MustSync() {
 			if err := c.cfg.Store.Save(r); err != nil {
+				if c.amnesia(err) {
+					return
+				}
 				if !c.diskDown {
 					c.cfg.Log.Error("the disk takes no writes: promising nothing", "err", err)
 				}
@@ -344,7 +385,7 @@
 		return
 	}
 	if s := c.node.Compact(c.node.Applied(), data); s != nil {
-		if err := c.cfg.Store.Compact(*s); err != nil {
+		if err := c.cfg.Store.Compact(*s); err != nil && !c.amnesia(err) {
 			c.cfg.Log.Warn("compacting the log", "err", err)
 		}
 	}
--- /dev/null
+++ b/controlplane/lost_test.go
@@ -0,0 +1,83 @@
+package controlplane
+
+import (
+	"errors"
+	"fmt"
+	"testing"
+
+	"example.org/elmspan/agreement"
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/api"
+)
+
+// forgetful is a store that is found corrupt by a Save or a Compact.
+type forgetful struct {
+	Store
+	save, compact error
+}
+
+func (s *forgetful) Save(r agreement.Ready) error {
+	if s.save != nil {
+		return s.save
+	}
+	return s.Store.Save(r)
+}
+
+func (s *forgetful) Compact(snap agreement.Snapshot) error {
+	if s.compact != nil {
+		return s.compact
+	}
+	return s.Store.Compact(snap)
+}
+
+// A member whose store is found corrupt while it runs promises and answers nothing from
+// then on, and Run ends with it, so that another can begin in its place. Another failure
+// of the disk ends nothing. (Before, Run went on, and the member was silent.)
+func TestStoreLostEndsTheMember(t *testing.T) {
+	t.Parallel()
+	lost := fmt.Errorf("opening it again: %w", logstore.ErrCorrupt)
+	for name, c := range map[string]struct {
+		disk forgetful
+		ends bool
+	}{
+		"save":             {forgetful{save: lost}, true},
+		"compact":          {forgetful{compact: lost}, true},
+		"the disk is full": {forgetful{save: errors.New("no space")}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			m, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+			if err != nil {
+				t.Fatal(err)
+			}
+			disk := c.disk
+			disk.Store = m.cfg.Store
+			m.cfg.Store = &disk
+			var es []agreement.Entry
+			for i := range uint64(200) { // a snapshot is due
+				es = append(es, agreement.Entry{Index: 6 + i, Term: 4})
+			}
+			if _, err := m.Deliver(t.Context(), &api.Deliver{From: 2, Addr: "b", Messages: []agreement.Message{
+				{Kind: agreement.Append, From: 2, To: 1, Term: 4, Index: 5, LogTerm: 1, Commit: 205, Entries: es}}}); err != nil {
+				t.Fatal(err)
+			}
+			if m.diskDown != (c.disk.save != nil || c.ends) {
+				t.Errorf("it goes on answering: %v", !m.diskDown)
+			}
+			if !c.ends {
+				if m.lost != nil || m.halted != "" {
+					t.Errorf("ended by %v, %q", m.lost, m.halted)
+				}
+				return
+			}
+			if s := m.Status(); s.Halted == "" || s.DiskFails || m.node.Role() == agreement.Leader {
+				t.Errorf("%+v", s)
+			}
+			if err := m.Run(t.Context()); !errors.Is(err, logstore.ErrCorrupt) {
+				t.Errorf("Run ends with %v", err)
+			}
+			if k, err := m.Confirm(t.Context(), &api.None{}); err != nil || k.OK {
+				t.Errorf("a member is answered: %+v, %v", k, err)
+			}
+		})
+	}
+}
--- a/process/damaged_test.go
+++ b/process/damaged_test.go
@@ -69,7 +69,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				if id, err = p.store.Identity(); err != nil {
+				if id, err = p.host.store.Identity(); err != nil {
 					t.Error(err)
 				}
 				if err := p.close(); err != nil {
--- a/process/discover.go
+++ b/process/discover.go
@@ -63,12 +63,13 @@
 	patience := backoff.Spread(silentFor, rng)
 	for ctx.Err() == nil {
 		pause := lookEach
-		if p.core != nil && !d.asked {
+		core := p.host.core()
+		if core != nil && !d.asked {
 			pause /= 8 // a new leader's first list is waited for
 		}
 		backoff.Sleep(ctx, pause)
 		now, cfg := time.Since(p.start), p.cfg.Load()
-		if leads := p.core != nil && p.core.Leads(); leads != d.leads {
+		if leads := core != nil && core.Leads(); leads != d.leads {
 			d.leads, d.asked, d.doubt = leads, false, false
 		}
 		d.since, d.changed, d.silent = now-last, now-changed, now-time.Duration(p.newsAt.Load())-patience
@@ -90,7 +91,7 @@
 			p.gateway.OwnServers(list)
 			continue
 		}
-		news, doubt := p.core.SetServers(list)
+		news, doubt := core.SetServers(list)
 		if d.doubt = doubt; news {
 			changed = now
 		}
--- a/process/news.go
+++ b/process/news.go
@@ -57,12 +57,12 @@
 
 // whom returns the member to ask, and its address; "" is the core in this process.
 func (p *Process) whom() (m member, addr string, ok bool) {
-	if p.core != nil && !p.coreFailed {
+	if core := p.host.core(); core != nil && !p.coreFailed {
 		return member{nil, func(ctx context.Context, q *api.Watch) (*api.News, error) {
-			return callLocal(ctx, &p.localCall, q, p.core.Watch)
+			return callLocal(ctx, &p.localCall, q, core.Watch)
 		},
 			func(ctx context.Context, q *api.Fetch) (*api.Piece, error) {
-				return callLocal(ctx, &p.localCall, q, p.core.Fetch)
+				return callLocal(ctx, &p.localCall, q, core.Fetch)
 			}}, "", true
 	}
 	if addr = p.client.Helper(); addr == "" {
@@ -106,7 +106,7 @@
 
 // passOver has another member asked next.
 func (p *Process) passOver(addr string) {
-	p.coreFailed = addr == "" && p.core != nil // the core in this process is tried every other time
+	p.coreFailed = addr == "" && p.host.core() != nil // the core in this process is tried every other time
 	p.client.HelperFailed(addr)
 }
 
--- a/process/process.go
+++ b/process/process.go
@@ -21,7 +21,6 @@
 	"google.golang.org/grpc"
 
 	"example.org/elmspan/agreement"
-	"example.org/elmspan/agreement/logstore"
 	"example.org/elmspan/api"
 	"example.org/elmspan/controlplane"
 	"example.org/elmspan/dataplane"
@@ -64,8 +63,7 @@
 
 	conns   *api.Conns
 	client  *controlplane.Client
-	store   *logstore.Store
-	core    *controlplane.Core
+	host    *host // of a member of the core; nil where the settings ask for none
 	gateway *dataplane.Gateway
 	members *membership.Service
 
@@ -120,21 +118,12 @@
 		p.gauges()
 	}
 	if cfg.Core() {
-		dir := filepath.Join(cfg.DataDir, "log")
-		if err = p.openCore(cfg, dir, logstore.Open, cfg.Bootstrap, seed); errors.Is(err, logstore.ErrCorrupt) {
-			// It may have promised what it can't remember: it comes back as a new member,
-			// and fetches everything from the others. Never as a first voter: its id of
-			// that time has promised something.
-			p.log.Error("the state on disk can't be used: starting without it, as a new member", "dir", dir, "err", err)
-			if p.store != nil {
-				p.store.Close()
-			}
-			err = p.openCore(cfg, dir, logstore.Reset, false, seed)
-		}
-		if err != nil {
+		p.host = &host{dir: filepath.Join(cfg.DataDir, "log"), client: p.client, log: p.log,
+			cfg: controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
+				Voters: max(voters, 2*cfg.Tolerance.Machines+1), Conns: p.conns, Log: p.log, Seed: seed}}
+		if err = p.host.begin(cfg.Bootstrap); err != nil {
 			return err
 		}
-		p.client.Local = p.core
 	}
 	if cfg.Serves("edge") {
 		if p.gateway, err = dataplane.New(cfg, dataplane.Options{Seed: seed, Log: p.log, Upstream: p.Tune.Upstream, Link: p.Tune.Link, Keys: p.ring, Metrics: p.meter,
@@ -142,15 +131,15 @@
 			return err
 		}
 	}
-	self := api.Peer{Name: cfg.Name, Addr: cfg.InternalAddr(), Zone: cfg.Zone, Life: seed, Edge: cfg.Serves("edge"), Core: cfg.Core()}
+	self := api.Peer{Name: cfg.Name, Addr: cfg.InternalAddr(), Zone: cfg.Zone, Life: seed, Edge: cfg.Serves("edge"), Core: p.host.core() != nil}
 	if !cfg.Serves("edge") { // two processes of one machine have one node name
 		self.Name += "/" + cfg.Role
 	}
 	p.members = membership.New(self, func() []string { return p.cfg.Load().SeedAddrs() }, p.conns, seed, p.log, p.peersChanged)
 	p.internal = api.NewServer(p.ring)
 	api.RegisterMembership(p.internal, p.members)
-	if p.core != nil {
-		api.RegisterControl(p.internal, p.core)
+	if p.host.core() != nil {
+		api.RegisterControl(p.internal, p.host)
 	}
 	l, err := api.Listen(context.Background(), cfg.InternalAddr())
 	if err != nil {
@@ -172,15 +161,6 @@
 	return nil
 }
 
-func (p *Process) openCore(cfg *settings.Node, dir string, open func(string) (*logstore.Store, error), bootstrap bool, seed uint64) (err error) {
-	if p.store, err = open(dir); err != nil {
-		return err
-	}
-	p.core, err = controlplane.NewCore(controlplane.CoreConfig{Addr: cfg.InternalAddr(), Seeds: cfg.SeedAddrs(),
-		Bootstrap: bootstrap, Voters: max(voters, 2*cfg.Tolerance.Machines+1), Store: p.store, Conns: p.conns, Log: p.log, Seed: seed})
-	return err
-}
-
 func (p *Process) close() error {
 	var errs []error
 	for _, l := range p.listening {
@@ -189,10 +169,7 @@
 	if p.metered != nil {
 		errs = append(errs, p.metered.Close())
 	}
-	if p.store != nil {
-		errs = append(errs, p.store.Close())
-	}
-	return errors.Join(errs...)
+	return errors.Join(append(errs, p.host.close())...)
 }
 
 // Reload has the settings file read again.
@@ -211,8 +188,8 @@
 	if p.control != nil {
 		tasks.Go(func() { p.control.Serve(p.guard.listener(p.listening[1])) })
 	}
-	if p.core != nil {
-		tasks.Go(func() { p.core.Run(work) })
+	if p.host.core() != nil {
+		tasks.Go(func() { p.host.run(work) })
 	}
 	tasks.Go(func() { p.members.Run(work) })
 	tasks.Go(func() { p.watch(work) })
@@ -225,15 +202,15 @@
 			}
 		})
 	}
-	p.log.Info("started", "name", p.cfg.Load().Name, "core", p.core != nil, "internal", p.cfg.Load().InternalAddr())
+	p.log.Info("started", "name", p.cfg.Load().Name, "core", p.host.core() != nil, "internal", p.cfg.Load().InternalAddr())
 	left := make(chan struct{})
 	gone := context.AfterFunc(ctx, func() { // leadership and vote are handed on while the traffic is finished
 		defer close(left)
 		end := time.NewTimer(leaveFor)
 		defer end.Stop()
 		var done <-chan struct{}
-		if p.core != nil {
-			done = p.core.Leave()
+		if core := p.host.core(); core != nil {
+			done = core.Leave()
 		}
 		p.members.Leave(work)
 		if done != nil {
@@ -264,10 +241,7 @@
 	}
 	p.conns.Close()
 	tasks.Wait()
-	if p.store != nil {
-		return p.store.Close()
-	}
-	return nil
+	return p.host.close()
 }
 
 func (p *Process) peersChanged(all []api.Peer) {
@@ -292,10 +266,11 @@
 func (p *Process) gauges() {
 	core := func(name string, of func(controlplane.CoreStatus) float64) {
 		p.meter.Gauge(name, func() float64 {
-			if p.core == nil {
+			c := p.host.core()
+			if c == nil {
 				return 0
 			}
-			return of(p.core.Status())
+			return of(c.Status())
 		})
 	}
 	truth := map[bool]float64{true: 1}
@@ -380,6 +355,7 @@
 		Name    string
 		Limiter *dataplane.Status        `json:",omitempty"`
 		Core    *controlplane.CoreStatus `json:",omitempty"`
+		CoreOut string                   `json:",omitempty"` // why it takes no part in the core
 		Peers   []string
 	}
 	s.Name = p.cfg.Load().Name
@@ -387,10 +363,11 @@
 		v := p.gateway.Status()
 		s.Limiter = &v
 	}
-	if p.core != nil {
-		v := p.core.Status()
+	if c := p.host.core(); c != nil {
+		v := c.Status()
 		s.Core = &v
 	}
+	s.CoreOut = p.host.whyOut()
 	for _, q := range p.members.Peers() {
 		s.Peers = append(s.Peers, fmt.Sprintf("%s %s %s", q.Name, q.Addr, [...]string{"alive", "leaving", "dead"}[min(2, q.State)]))
 	}
