A machine with an empty disk and bootstrap left on asks the seeds who it is

With bootstrap left in its settings a wiped first voter took its old name again, under which it may have promised something; two of three made a majority that knows nothing. It now asks the other seeds before it takes part: one that has taken part in a term makes it a new member, all that have not make it a first voter; a majority and 30 s of silence count as a first start with a dead machine, which can't be told from two lost disks beside a third that is cut off and stays in the gaps. Other ways: decisions/0015.

--- a/api/rpc.go
+++ b/api/rpc.go
@@ -217,6 +217,18 @@
 	Confirm(context.Context, *None) (*Confirmation, error)
 }
 
+// Past answers a machine that starts with an empty disk: whether the member in this
+// process may have taken part in an agreement, of which that machine may have been a
+// part before it lost its disk.
+type Past struct {
+	TookPart bool `cbor:"1,keyasint,omitempty"`
+}
+
+// Bootstrap is what a core process answers machines that are to be first voters.
+type Bootstrap interface {
+	Past(context.Context, *None) (*Past, error)
+}
+
 // Membership is what every process answers.
 type Membership interface {
 	Beat(context.Context, *Beat) (*BeatReply, error)
@@ -235,6 +247,7 @@
 
 const (
 	controlService    = "elmspan.Control"
+	bootstrapService  = "elmspan.Bootstrap"
 	membershipService = "elmspan.Membership"
 )
 
@@ -245,6 +258,9 @@
 	method(controlService, "Fetch", Control.Fetch), method(controlService, "Confirm", Control.Confirm),
 }}
 
+var bootstrapDesc = grpc.ServiceDesc{ServiceName: bootstrapService, HandlerType: (*Bootstrap)(nil),
+	Methods: []grpc.MethodDesc{method(bootstrapService, "Past", Bootstrap.Past)}}
+
 var membershipDesc = grpc.ServiceDesc{ServiceName: membershipService, HandlerType: (*Membership)(nil),
 	Methods: []grpc.MethodDesc{method(membershipService, "Beat", Membership.Beat)}}
 
@@ -262,6 +278,9 @@
 // RegisterControl and RegisterMembership add a service to a server.
 func RegisterControl(s *grpc.Server, c Control) { s.RegisterService(&controlDesc, c) }
 
+// RegisterBootstrap adds what machines are asked at their first start.
+func RegisterBootstrap(s *grpc.Server, b Bootstrap) { s.RegisterService(&bootstrapDesc, b) }
+
 // RegisterMembership adds the heartbeats.
 func RegisterMembership(s *grpc.Server, m Membership) { s.RegisterService(&membershipDesc, m) }
 
@@ -342,6 +361,16 @@
 	return invoke[Confirmation](ctx, c, "/"+controlService+"/Confirm", &None{})
 }
 
+// CallPast asks whether a machine's member may have taken part in an agreement. A
+// program of before, which can't say, may have.
+func CallPast(ctx context.Context, c *grpc.ClientConn) (*Past, error) {
+	r, err := invoke[Past](ctx, c, "/"+bootstrapService+"/Past", &None{})
+	if status.Code(err) == codes.Unimplemented {
+		return &Past{TookPart: true}, nil
+	}
+	return r, err
+}
+
 // CallBeat calls Beat.
 func CallBeat(ctx context.Context, c *grpc.ClientConn, q *Beat) (*BeatReply, error) {
 	return invoke[BeatReply](ctx, c, "/"+membershipService+"/Beat", q)
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -125,6 +125,14 @@
 	return c, nil
 }
 
+// TookPart tells whether this member may have taken part in an agreement: a first voter
+// that knows of no term yet has not.
+func (c *Core) TookPart() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.node.Term() > 0 || c.node.LastIndex() > 0 || c.id != BootstrapID(c.cfg.Addr)
+}
+
 // decoded is a snapshot as it is answered from.
 type decoded struct {
 	index, term uint64
--- /dev/null
+++ b/process/founding.go
@@ -0,0 +1,176 @@
+package process
+
+import (
+	"context"
+	"errors"
+	"slices"
+	"sync"
+	"time"
+
+	"example.org/elmspan/agreement/logstore"
+	"example.org/elmspan/api"
+	"example.org/elmspan/internal/backoff"
+)
+
+const (
+	// askSeedsEvery is the pause between two rounds of questions to the seeds, and
+	// seedTimeout what one of them may take.
+	askSeedsEvery = 25 * time.Millisecond
+	seedTimeout   = 400 * time.Millisecond
+	// silentSeeds is how long a first start waits for seeds that say nothing, once a
+	// majority says that it is one: longer than the cuts and restarts that are usual.
+	silentSeeds = 30 * time.Second
+)
+
+// founding decides what a machine with an empty disk is that is told to be a first
+// voter. The setting may be left over from the first start: then the machine has
+// promised something under that name, and must not take it again.
+//
+// A promise counts only with a term, which whoever takes part in it has on disk before.
+// So where every other seed says, after this machine has begun with its empty disk, that
+// it has taken part in no term, nothing that was agreed on had a promise of this
+// machine that is kept on any disk of theirs, and it may take the name. One that has
+// taken part is enough to know that this is no first start. What a seed has said stays true of this machine's
+// past, whatever that seed does next: so machines that start at once all go on, and none
+// waits for another's decision.
+type founding struct {
+	seeds []string // the other ones
+	heard map[string]bool
+	now   map[string]bool // in the present round
+}
+
+type verdict uint8
+
+const (
+	undecided verdict = iota
+	firstVoter
+	newMember
+)
+
+func newFounding(seeds []string, self string) *founding {
+	f := &founding{heard: map[string]bool{}}
+	for _, s := range seeds {
+		if s != self {
+			f.seeds = append(f.seeds, s)
+		}
+	}
+	return f
+}
+
+// round takes in who answered a round of questions, and whether each took part in an
+// agreement. waited is how long the machine has asked.
+func (f *founding) round(answers map[string]bool, waited time.Duration) verdict {
+	f.now = answers
+	for seed, tookPart := range answers {
+		if tookPart {
+			return newMember
+		}
+		f.heard[seed] = true
+	}
+	switch {
+	case len(f.heard) == len(f.seeds):
+		return firstVoter
+	// With others that say nothing this can't be told from two disks lost at once while
+	// the rest is cut off; a first start may not wait for a dead machine for ever.
+	case waited >= silentSeeds && 1+len(f.now) > (1+len(f.seeds))/2:
+		return firstVoter
+	}
+	return undecided
+}
+
+// silent are the seeds that have not answered.
+func (f *founding) silent() (out []string) {
+	for _, s := range f.seeds {
+		if !f.heard[s] {
+			out = append(out, s)
+		}
+	}
+	return out
+}
+
+// found asks the seeds until it is clear what this machine is, and begins its member.
+func (h *host) found(ctx context.Context) {
+	f, began, told := newFounding(h.cfg.Seeds, h.cfg.Addr), time.Now(), time.Duration(0)
+	for {
+		waited := time.Since(began)
+		v := f.round(h.askSeeds(ctx, f.seeds), waited)
+		if ctx.Err() != nil {
+			return
+		}
+		if v == undecided {
+			if waited-told > 5*time.Second {
+				told = waited
+				h.log.Warn("bootstrap is set, and some seeds say nothing: waiting for them before taking part", "seeds", f.silent())
+			}
+			if !backoff.Sleep(ctx, askSeedsEvery) {
+				return
+			}
+			continue
+		}
+		if v == newMember {
+			h.log.Warn("bootstrap is set and this is no first start: beginning as a new member; set it to false")
+		} else if silent := f.silent(); len(silent) > 0 {
+			h.log.Warn("beginning as a first voter without word of all seeds", "silent", silent)
+		}
+		err := h.member(v == firstVoter)
+		for err != nil {
+			h.log.Error("a member can't begin yet", "dir", h.dir, "err", err)
+			if !backoff.Sleep(ctx, anewEvery) {
+				return
+			}
+			if errors.Is(err, logstore.ErrCorrupt) {
+				err = h.anew()
+			} else {
+				err = h.member(v == firstVoter)
+			}
+		}
+		h.founding.Store(false)
+		return
+	}
+}
+
+// askSeeds asks seeds side by side. Those that don't answer are left out.
+func (h *host) askSeeds(ctx context.Context, seeds []string) map[string]bool {
+	ctx, cancel := context.WithTimeout(ctx, seedTimeout)
+	defer cancel()
+	var mu sync.Mutex
+	var tasks sync.WaitGroup
+	out := map[string]bool{}
+	for _, addr := range seeds {
+		conn, err := h.cfg.Conns.To(addr)
+		if err != nil {
+			continue
+		}
+		tasks.Go(func() {
+			r, err := api.CallPast(ctx, conn)
+			if err != nil {
+				conn.ResetConnectBackoff() // it is about to listen
+				return
+			}
+			mu.Lock()
+			defer mu.Unlock()
+			out[addr] = r.TookPart
+		})
+	}
+	tasks.Wait()
+	return out
+}
+
+// Past tells a machine that starts whether this one's member may have taken part in an
+// agreement; one that is not decided yet has not.
+func (h *host) Past(context.Context, *api.None) (*api.Past, error) {
+	if core := h.core(); core != nil {
+		return &api.Past{TookPart: core.TookPart()}, nil
+	}
+	return &api.Past{TookPart: !h.founding.Load()}, nil
+}
+
+// toFound tells whether the store is empty and the machine is to be one of several
+// first voters.
+func (h *host) toFound(store *logstore.Store, bootstrap bool) (bool, error) {
+	if !bootstrap || len(h.cfg.Seeds) < 2 || !slices.Contains(h.cfg.Seeds, h.cfg.Addr) {
+		return false, nil
+	}
+	id, err := store.Identity()
+	return id == 0, err
+}
--- a/process/host.go
+++ b/process/host.go
@@ -34,6 +34,8 @@
 	now   atomic.Pointer[controlplane.Core]
 	// why no member takes part, for operators; nil: one does, or is about to begin.
 	out atomic.Pointer[string]
+	// founding: the store is empty and the seeds are asked whether this is a first start.
+	founding atomic.Bool
 }
 
 // core is the member as it is; nil while there is none.
@@ -87,35 +89,47 @@
 		h.store = nil
 		return err
 	}
+	found, err := h.toFound(h.store, bootstrap)
+	if err != nil || found {
+		h.founding.Store(found) // run goes on with it, once the others can be answered
+		return err
+	}
+	return h.member(bootstrap)
+}
+
+// member begins the member over the store.
+func (h *host) member(bootstrap bool) error {
 	cfg := h.cfg
 	if cfg.Store, cfg.Bootstrap = h.store, bootstrap; h.between != nil {
 		cfg.Store = h.between(h.store)
 	}
 	core, err := controlplane.NewCore(cfg)
-	if err != nil {
-		return err
+	if err == nil {
+		h.set(core)
 	}
-	h.put(core)
-	return nil
+	return err
 }
 
-func (h *host) put(core *controlplane.Core) {
+func (h *host) set(core *controlplane.Core) {
 	h.now.Store(core)
 	h.client.SetLocal(core)
 }
 
 // run has the member take part until the context ends.
 func (h *host) run(ctx context.Context) {
-	for ctx.Err() == nil {
+	if h.founding.Load() {
+		h.found(ctx)
+	}
+	for ctx.Err() == nil && h.core() != nil {
 		err := h.core().Run(ctx)
 		if err == nil {
 			return
 		}
 		h.log.Error("the state on disk can't be used any more: going on without it, as a new member", "dir", h.dir, "err", err)
-		h.put(nil)
+		h.set(nil)
 		for err = h.anew(); err != nil; err = h.anew() {
 			h.log.Error("a new member can't begin yet", "dir", h.dir, "err", err)
-			if backoff.Sleep(ctx, anewEvery); ctx.Err() != nil {
+			if !backoff.Sleep(ctx, anewEvery) {
 				return
 			}
 		}
--- a/process/host_test.go
+++ b/process/host_test.go
@@ -13,6 +13,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -130,26 +131,9 @@
 // process finds that one. (Before, the member was silent until that start.)
 func TestStoreLostWhileRunning(t *testing.T) {
 	t.Parallel()
-	ls, addrs := make([]net.Listener, 3), make([]string, 3)
-	for i := range ls {
-		var err error
-		if ls[i], err = net.Listen("tcp", "127.0.0.1:0"); err != nil {
-			t.Fatal(err)
-		}
-		addrs[i] = ls[i].Addr().String()
-	}
-	disk, dirs, hosts, stops := &lossy{lost: make(chan struct{})}, []string{t.TempDir(), t.TempDir(), t.TempDir()}, make([]*host, 3), make([]func(), 3)
-	start := func(i int, between func(*logstore.Store) controlplane.Store) *host {
-		conns, log := api.NewConns(nil), slog.New(slog.DiscardHandler)
-		h := &host{dir: dirs[i], client: &controlplane.Client{Conns: conns, Log: log}, log: log, between: between,
-			cfg: controlplane.CoreConfig{Addr: addrs[i], Seeds: addrs, Voters: 3, Conns: conns, Log: log, Seed: uint64(i)}}
-		h.client.Learn("", addrs)
-		if err := h.begin(true); err != nil {
-			t.Fatal(err)
-		}
-		return h
-	}
-	for i := range hosts {
+	c := newCore3(t)
+	disk := &lossy{lost: make(chan struct{})}
+	for i := range c.hosts {
 		var between func(*logstore.Store) controlplane.Store
 		if i == 1 {
 			between = func(s *logstore.Store) controlplane.Store {
@@ -160,56 +144,107 @@
 				return disk
 			}
 		}
-		h := start(i, between)
-		srv := api.NewServer(nil)
-		api.RegisterControl(srv, h)
-		ctx, cancel := context.WithCancel(context.Background())
-		done := make(chan struct{})
-		go srv.Serve(ls[i])
-		go func() { h.run(ctx); close(done) }()
-		hosts[i] = h
-		stops[i] = sync.OnceFunc(func() {
-			cancel()
-			srv.Stop()
-			<-done
-			h.cfg.Conns.Close()
-			h.close()
-		})
-		t.Cleanup(stops[i])
-	}
-	bring := func(base, revision uint64) []byte {
-		t.Helper()
-		conf, err := cbor.Marshal(&api.Config{Revision: revision})
-		if err != nil {
-			t.Fatal(err)
-		}
-		if r := hosts[0].client.Replace(t.Context(), &api.Replace{Base: base, Config: conf}); r.Status != http.StatusOK {
-			t.Fatalf("%d: %+v", revision, r)
-		}
-		return conf
+		c.start(i, between)
 	}
-	bring(0, 7)
-	old := hosts[1].core()
+	c.bring(0, 7)
+	c.until(func() bool { return c.hosts[1].core() != nil })
+	old := c.hosts[1].core()
 	close(disk.lost)
-	conf := bring(7, 8) // it can't save this
-	var now controlplane.CoreStatus
-	for ; ; time.Sleep(10 * time.Millisecond) { // as long as it takes: the test's own time bounds it
-		if c := hosts[1].core(); c != nil && c != old {
-			if now = c.Status(); now.Revision == 8 && slices.Contains(now.Members, fmt.Sprintf("%s %s voter", now.ID, addrs[1])) {
-				break
-			}
-		}
-	}
+	conf := c.bring(7, 8) // it can't save this
+	c.until(func() bool { return c.hosts[1].core() != old && c.votes(1, 8) })
+	now := c.hosts[1].core().Status()
 	if s := old.Status(); s.Halted == "" || s.ID == now.ID {
 		t.Errorf("the member that has lost something: %+v", s)
 	}
-	if r := hosts[1].client.Get(t.Context(), &api.Read{}); r.Status != http.StatusOK || !bytes.Equal(r.Config, conf) {
+	if r := c.hosts[1].client.Get(t.Context(), &api.Read{}); r.Status != http.StatusOK || !bytes.Equal(r.Config, conf) {
 		t.Errorf("its process reads %+v", r)
 	}
-	stops[1]()
-	again := start(1, nil)
-	if s := again.core().Status(); s.ID != now.ID {
+	c.stops[1]()
+	c.start(1, nil)
+	if s := c.hosts[1].core().Status(); s.ID != now.ID {
 		t.Errorf("at the next start member %s is %s", now.ID, s.ID)
 	}
-	again.close()
+}
+
+// core3 is a core of three machines, each no more than its member's host.
+type core3 struct {
+	t     *testing.T
+	addrs []string
+	dirs  []string
+	hosts []*host
+	stops []func()
+}
+
+func newCore3(t *testing.T) *core3 {
+	c := &core3{t: t, hosts: make([]*host, 3), stops: make([]func(), 3)}
+	pid := os.Getpid()
+	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>16%64, pid>>8%256, 251+cores3.Add(1)%4) // no other test's, so that ports stay free
+	for _, port := range freePorts(t, ip, 3) {
+		c.addrs, c.dirs = append(c.addrs, fmt.Sprintf("%s:%d", ip, port)), append(c.dirs, filepath.Join(t.TempDir(), "log"))
+	}
+	return c
+}
+
+var cores3 atomic.Int32
+
+// start starts a machine whose settings have bootstrap on.
+func (c *core3) start(i int, between func(*logstore.Store) controlplane.Store) {
+	c.t.Helper()
+	conns, log := api.NewConns(nil), slog.New(slog.DiscardHandler)
+	h := &host{dir: c.dirs[i], client: &controlplane.Client{Conns: conns, Log: log}, log: log, between: between,
+		cfg: controlplane.CoreConfig{Addr: c.addrs[i], Seeds: c.addrs, Voters: 3, Conns: conns, Log: log, Seed: uint64(i)}}
+	h.client.Learn("", c.addrs)
+	if err := h.begin(true); err != nil {
+		c.t.Fatal(err)
+	}
+	l, err := net.Listen("tcp", c.addrs[i])
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	srv := api.NewServer(nil)
+	api.RegisterControl(srv, h)
+	api.RegisterBootstrap(srv, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go srv.Serve(l)
+	go func() { h.run(ctx); close(done) }()
+	c.hosts[i] = h
+	c.stops[i] = sync.OnceFunc(func() {
+		cancel()
+		srv.Stop()
+		<-done
+		conns.Close()
+		h.close()
+	})
+	c.t.Cleanup(c.stops[i])
+}
+
+// until waits as long as it takes: the test's own time bounds it.
+func (c *core3) until(is func() bool) {
+	for !is() {
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+// bring has a configuration taken, asked for at machine 2.
+func (c *core3) bring(base, revision uint64) []byte {
+	c.t.Helper()
+	conf, err := cbor.Marshal(&api.Config{Revision: revision})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	if r := c.hosts[2].client.Replace(c.t.Context(), &api.Replace{Base: base, Config: conf}); r.Status != http.StatusOK {
+		c.t.Fatalf("%d: %+v", revision, r)
+	}
+	return conf
+}
+
+// votes tells whether a machine's member has a vote and a revision.
+func (c *core3) votes(i int, revision uint64) bool {
+	core := c.hosts[i].core()
+	if core == nil {
+		return false
+	}
+	s := core.Status()
+	return s.Revision == revision && slices.Contains(s.Members, fmt.Sprintf("%s %s voter", s.ID, c.addrs[i]))
 }
--- a/process/process.go
+++ b/process/process.go
@@ -131,15 +131,16 @@
 			return err
 		}
 	}
-	self := api.Peer{Name: cfg.Name, Addr: cfg.InternalAddr(), Zone: cfg.Zone, Life: seed, Edge: cfg.Serves("edge"), Core: p.host.core() != nil}
+	self := api.Peer{Name: cfg.Name, Addr: cfg.InternalAddr(), Zone: cfg.Zone, Life: seed, Edge: cfg.Serves("edge"), Core: p.host != nil && p.host.whyOut() == ""}
 	if !cfg.Serves("edge") { // two processes of one machine have one node name
 		self.Name += "/" + cfg.Role
 	}
 	p.members = membership.New(self, func() []string { return p.cfg.Load().SeedAddrs() }, p.conns, seed, p.log, p.peersChanged)
 	p.internal = api.NewServer(p.ring)
 	api.RegisterMembership(p.internal, p.members)
-	if p.host.core() != nil {
+	if p.host != nil {
 		api.RegisterControl(p.internal, p.host)
+		api.RegisterBootstrap(p.internal, p.host)
 	}
 	l, err := api.Listen(context.Background(), cfg.InternalAddr())
 	if err != nil {
@@ -188,7 +189,7 @@
 	if p.control != nil {
 		tasks.Go(func() { p.control.Serve(p.guard.listener(p.listening[1])) })
 	}
-	if p.host.core() != nil {
+	if p.host != nil {
 		tasks.Go(func() { p.host.run(work) })
 	}
 	tasks.Go(func() { p.members.Run(work) })
@@ -202,7 +203,7 @@
 			}
 		})
 	}
-	p.log.Info("started", "name", p.cfg.Load().Name, "core", p.host.core() != nil, "internal", p.cfg.Load().InternalAddr())
+	p.log.Info("started", "name", p.cfg.Load().Name, "core", p.host != nil && p.host.whyOut() == "", "internal", p.cfg.Load().InternalAddr())
 	left := make(chan struct{})
 	gone := context.AfterFunc(ctx, func() { // leadership and vote are handed on while the traffic is finished
 		defer close(left)
