A member back with its disk of earlier is told so by the leader that knows

A whole folder put back can't be told from the present by its member, and the leader went on counting what the member no longer had. A rejection of a place that it had acknowledged, to a question of a later round than the acknowledgement, proves the loss: the leader says Forgotten (older programs ignore it), and the member ends with ErrCorrupt and begins anew. It costs no message and no sync. It ends with that leader: what would tell it later is weighed in decisions/0012 and left. The sim now fails where a member is told wrongly.

--- a/agreement/clone.go
+++ b/agreement/clone.go
@@ -48,7 +48,7 @@
 		return 0
 	}
 	num(n.hard.Term, uint64(n.hard.Vote), n.snap.Index, n.snap.Term, n.base, n.baseTerm, uint64(n.role), uint64(n.leader), n.commit, n.applied, n.stored,
-		truth(n.hardDirty), truth(n.prevote), n.round, n.refused, uint64(len(n.entries)))
+		truth(n.hardDirty), truth(n.prevote), truth(n.forgot), n.round, n.refused, uint64(len(n.entries)))
 	for _, e := range n.entries {
 		b = appendEntry(b, e)
 	}
@@ -60,7 +60,7 @@
 	num(uint64(len(n.peers)))
 	for _, id := range slices.Sorted(maps.Keys(n.peers)) {
 		p := n.peers[id]
-		num(uint64(id), p.match, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.answered), truth(p.joint), truth(p.snapshot != nil), truth(p.catchUp))
+		num(uint64(id), p.match, p.matchRound, p.next, p.round, truth(p.active), truth(p.paused), p.out, truth(p.answered), truth(p.joint), truth(p.snapshot != nil), truth(p.catchUp))
 		if x := p.snapshot; x != nil {
 			num(x.snap.Index, x.sum, uint64(x.acked), uint64(x.sent), uint64(x.hold), truth(x.tries > 0))
 		}
--- a/agreement/model/world.go
+++ b/agreement/model/world.go
@@ -435,7 +435,7 @@
 }
 
 func describe(m agreement.Message) string {
-	kind := [...]string{"", "pre-vote", "answer to a pre-vote", "vote?", "vote", "append", "appended", "snapshot", "campaign", "piece", "piece taken"}[m.Kind]
+	kind := [...]string{"", "pre-vote", "answer to a pre-vote", "vote?", "vote", "append", "appended", "snapshot", "campaign", "piece", "piece taken", "forgotten"}[m.Kind]
 	if m.Reject {
 		kind = "no: " + kind
 	}
--- a/agreement/node.go
+++ b/agreement/node.go
@@ -75,6 +75,7 @@
 	installed *Snapshot // to be stored and applied
 	incoming  *assembly // a snapshot that comes in pieces
 	refused   uint64
+	forgot    bool
 	out       []Message
 
 	led     ID  // the last leader that was heard of
@@ -93,6 +94,7 @@
 // progress is what a leader knows of a member.
 type progress struct {
 	match, next uint64
+	matchRound  uint64 // the latest round when match was last raised
 	round       uint64 // the latest that it has answered
 	active      bool   // heard of since the last quorum check
 	paused      bool   // entries are out; heartbeats carry none meanwhile
@@ -187,6 +189,10 @@
 	return n.quorum(func(p *progress) uint64 { return p.round }, n.round)
 }
 
+// Forgot tells that this member holds less than it has acknowledged, as its leader knows:
+// its disk is one of earlier. It must promise nothing more under its id.
+func (n *Node) Forgot() bool { return n.forgot }
+
 // ---- The log ----
 
 func (n *Node) last() uint64 { return n.base + uint64(len(n.entries)) }
--- a/agreement/sim_test.go
+++ b/agreement/sim_test.go
@@ -64,6 +64,9 @@
 func (s *sim) host(id ID) {
 	n, d := s.nodes[id], s.disks[id]
 	for n != nil {
+		if n.Forgot() { // nothing here takes an older disk for its own
+			s.fail("%d is said to have forgotten what it acknowledged", id)
+		}
 		r := n.Ready()
 		if r.Empty() {
 			break
--- a/agreement/step.go
+++ b/agreement/step.go
@@ -75,6 +75,8 @@
 		n.appended(m)
 	case PieceReply:
 		n.pieceTaken(m)
+	case Forgotten:
+		n.forgot = n.forgot || n.leader == m.From
 	case Campaign:
 		if n.Needed() {
 			n.force = true
@@ -171,6 +173,12 @@
 	p.heard(m.Round, n.round)
 	p.joint = m.Joint
 	if m.Reject {
+		// The question went out after the answer that raised match had come, so this is none
+		// of before it: what fitted once in this term fits for good, unless it is gone.
+		if m.Tried != 0 && m.Tried <= p.match && m.Round > p.matchRound {
+			n.send(Message{Kind: Forgotten, To: m.From, Term: n.hard.Term})
+			return
+		}
 		if p.next <= n.base || m.Tried != 0 && m.Tried != p.next-1 {
 			return // a snapshot is on its way, or this is an answer to something before
 		}
@@ -187,7 +195,7 @@
 		p.paused = false
 	}
 	if m.Index > p.match && m.Index <= n.last() {
-		p.match = m.Index
+		p.match, p.matchRound = m.Index, n.round
 		p.next = max(p.next, p.match+1)
 		if p.next > n.base {
 			p.snapshot = nil
--- a/agreement/types.go
+++ b/agreement/types.go
@@ -74,6 +74,8 @@
 	Campaign
 	Piece // of a snapshot; members of before know neither this kind nor the next, and ignore both
 	PieceReply
+	// Forgotten tells a member that its log lacks what it has acknowledged to this leader.
+	Forgotten
 )
 
 // Message goes from one member to another. It may be lost, late or doubled.
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -285,6 +285,9 @@
 
 // process carries out what the node has ready. Called under the mutex.
 func (c *Core) process() {
+	if c.halted == "" && c.node.Forgot() {
+		c.amnesia(fmt.Errorf("%w: it is one of earlier, and lacks what was acknowledged to the leader", logstore.ErrCorrupt))
+	}
 	for c.halted == "" {
 		r := c.node.Ready()
 		if r.Empty() {
--- a/controlplane/lost_test.go
+++ b/controlplane/lost_test.go
@@ -81,3 +81,28 @@
 		})
 	}
 }
+
+// A member that the leader tells that it has less than it acknowledged ends likewise: its
+// disk is one of earlier. Nobody but its leader is believed.
+func TestOlderDiskEndsTheMember(t *testing.T) {
+	t.Parallel()
+	m, _, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	deliver := func(msg agreement.Message) {
+		t.Helper()
+		msg.To, msg.Term = 1, 4
+		if _, err := m.Deliver(t.Context(), &api.Deliver{From: msg.From, Addr: "b", Messages: []agreement.Message{msg}}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	deliver(agreement.Message{Kind: agreement.Append, From: 2, Index: 9, LogTerm: 4, Round: 3})
+	if deliver(agreement.Message{Kind: agreement.Forgotten, From: 3}); m.lost != nil {
+		t.Error("it believes another than its leader")
+	}
+	deliver(agreement.Message{Kind: agreement.Forgotten, From: 2})
+	if err := m.Run(t.Context()); !errors.Is(err, logstore.ErrCorrupt) || m.halted == "" {
+		t.Errorf("Run ends with %v, %q", err, m.halted)
+	}
+}
