A first start waits for all seeds, however long one is silent

With a majority and 30 s of silence taken for a first start, two machines that lost their disks with bootstrap left on, the third cut off for longer, would still have begun a core of their own. A seed whose process holds no member answers as well, else such a seed would stop a first start. TestFounding has the cases. go test ./process -run 'Past|Founding|Bootstrap|RolledBack|StoreLost' -count=2: ok.

--- a/process/founding.go
+++ b/process/founding.go
@@ -17,9 +17,6 @@
 	// seedTimeout what one of them may take.
 	askSeedsEvery = 25 * time.Millisecond
 	seedTimeout   = 400 * time.Millisecond
-	// silentSeeds is how long a first start waits for seeds that say nothing, once a
-	// majority says that it is one: longer than the cuts and restarts that are usual.
-	silentSeeds = 30 * time.Second
 )
 
 // founding decides what a machine with an empty disk is that is told to be a first
@@ -36,7 +33,6 @@
 type founding struct {
 	seeds []string // the other ones
 	heard map[string]bool
-	now   map[string]bool // in the present round
 }
 
 type verdict uint8
@@ -58,21 +54,16 @@
 }
 
 // round takes in who answered a round of questions, and whether each took part in an
-// agreement. waited is how long the machine has asked.
-func (f *founding) round(answers map[string]bool, waited time.Duration) verdict {
-	f.now = answers
+// agreement. While a seed says nothing a first start can't be told from disks that were
+// lost while the rest is cut off, however long that lasts. At a first start all are up.
+func (f *founding) round(answers map[string]bool) verdict {
 	for seed, tookPart := range answers {
 		if tookPart {
 			return newMember
 		}
 		f.heard[seed] = true
 	}
-	switch {
-	case len(f.heard) == len(f.seeds):
-		return firstVoter
-	// With others that say nothing this can't be told from two disks lost at once while
-	// the rest is cut off; a first start may not wait for a dead machine for ever.
-	case waited >= silentSeeds && 1+len(f.now) > (1+len(f.seeds))/2:
+	if len(f.heard) == len(f.seeds) {
 		return firstVoter
 	}
 	return undecided
@@ -92,13 +83,12 @@
 func (h *host) found(ctx context.Context) {
 	f, began, told := newFounding(h.cfg.Seeds, h.cfg.Addr), time.Now(), time.Duration(0)
 	for {
-		waited := time.Since(began)
-		v := f.round(h.askSeeds(ctx, f.seeds), waited)
+		v := f.round(h.askSeeds(ctx, f.seeds))
 		if ctx.Err() != nil {
 			return
 		}
 		if v == undecided {
-			if waited-told > 5*time.Second {
+			if waited := time.Since(began); waited-told > 5*time.Second {
 				told = waited
 				h.log.Warn("bootstrap is set, and some seeds say nothing: waiting for them before taking part", "seeds", f.silent())
 			}
@@ -109,8 +99,6 @@
 		}
 		if v == newMember {
 			h.log.Warn("bootstrap is set and this is no first start: beginning as a new member; set it to false")
-		} else if silent := f.silent(); len(silent) > 0 {
-			h.log.Warn("beginning as a first voter without word of all seeds", "silent", silent)
 		}
 		err := h.member(v == firstVoter)
 		for err != nil {
@@ -157,8 +145,11 @@
 }
 
 // Past tells a machine that starts whether this one's member may have taken part in an
-// agreement; one that is not decided yet has not.
+// agreement; one that is not decided yet has not, nor has a machine without a member.
 func (h *host) Past(context.Context, *api.None) (*api.Past, error) {
+	if h == nil {
+		return &api.Past{}, nil
+	}
 	if core := h.core(); core != nil {
 		return &api.Past{TookPart: core.TookPart()}, nil
 	}
--- a/process/founding_test.go
+++ b/process/founding_test.go
@@ -5,8 +5,8 @@
 	"os"
 	"slices"
 	"testing"
-	"time"
 
+	"example.org/elmspan/api"
 	"example.org/elmspan/controlplane"
 )
 
@@ -14,36 +14,28 @@
 func TestFounding(t *testing.T) {
 	t.Parallel()
 	type round = map[string]bool // who answers: whether it took part
-	const soon, late = time.Second, silentSeeds
 	for name, c := range map[string]struct {
 		rounds []round
-		waited time.Duration
 		want   verdict
 	}{
-		"nobody listens":                                    {[]round{{}}, soon, undecided},
-		"nobody ever listens":                               {[]round{{}}, 10 * late, undecided},
-		"all begin":                                         {[]round{{"b": false, "c": false}}, soon, firstVoter},
-		"all begin, one after the other":                    {[]round{{}, {"b": false}, {"c": false}}, soon, firstVoter},
-		"one went on meanwhile":                             {[]round{{"b": false}, {"b": true}}, soon, newMember},
-		"this one's disk was lost":                          {[]round{{"b": true, "c": true}}, soon, newMember},
-		"and another is down":                               {[]round{{"c": true}}, soon, newMember},
-		"two disks were lost":                               {[]round{{"b": false, "c": true}}, soon, newMember},
-		"two disks were lost, the third is cut off":         {[]round{{"b": false}, {"b": false}, {"b": false}}, late - 1, undecided},
-		"the third is back":                                 {[]round{{"b": false}, {"b": false}, {"b": false, "c": true}}, late + 1, newMember},
-		"a first start without the third (can't be told)":   {[]round{{"b": false}, {"b": false}}, late, firstVoter},
-		"alone on a side of a cut, after a first start":     {[]round{{"b": false}, {}}, late, undecided},
-		"the other had word of the third, and is new there": {[]round{{"b": false}, {"b": true}}, late, newMember},
+		"nobody listens":                            {[]round{{}}, undecided},
+		"all begin":                                 {[]round{{"b": false, "c": false}}, firstVoter},
+		"all begin, one after the other":            {[]round{{}, {"b": false}, {"c": false}}, firstVoter},
+		"one went on meanwhile":                     {[]round{{"b": false}, {"b": true}}, newMember},
+		"this one's disk was lost":                  {[]round{{"b": true, "c": true}}, newMember},
+		"and another is down":                       {[]round{{"c": true}}, newMember},
+		"two disks were lost":                       {[]round{{"b": false, "c": true}}, newMember},
+		"two disks were lost, the third is cut off": {[]round{{"b": false}, {"b": false}, {"b": false}}, undecided},
+		"the third is back":                         {[]round{{"b": false}, {"b": false}, {"b": false, "c": true}}, newMember},
+		"the third has told another":                {[]round{{"b": false}, {"b": true}}, newMember},
 	} {
 		f := newFounding([]string{"a", "b", "c"}, "a")
 		var got verdict
 		for i, r := range c.rounds {
-			waited := soon
-			if i == len(c.rounds)-1 {
-				waited = c.waited
-			} else if got != undecided {
+			if got != undecided {
 				t.Errorf("%s: %v before round %d", name, got, i)
 			}
-			got = f.round(r, waited)
+			got = f.round(r)
 		}
 		if got != c.want {
 			t.Errorf("%s: %v, want %v", name, got, c.want)
@@ -51,6 +43,23 @@
 	}
 }
 
+// What a machine says of itself: with a member by what that knows, without one nothing
+// that keeps others from a first start; one that stays out of the core, or whose member
+// is being replaced, may have promised anything.
+func TestPast(t *testing.T) {
+	t.Parallel()
+	founding := &host{}
+	founding.founding.Store(true)
+	for name, c := range map[string]struct {
+		h    *host
+		want bool
+	}{"no member": {nil, false}, "first start": {founding, false}, "out of the core": {&host{}, true}} {
+		if p, err := c.h.Past(t.Context(), &api.None{}); err != nil || p.TookPart != c.want {
+			t.Errorf("%s: %+v, %v", name, p, err)
+		}
+	}
+}
+
 // A system starts from empty disks with three addresses, whatever comes first. Later a
 // machine, then two at once, come back with empty disks and bootstrap still set: they
 // are new members, never the voters of before, whose promises they don't know. (They
--- a/process/process.go
+++ b/process/process.go
@@ -140,8 +140,8 @@
 	api.RegisterMembership(p.internal, p.members)
 	if p.host != nil {
 		api.RegisterControl(p.internal, p.host)
-		api.RegisterBootstrap(p.internal, p.host)
 	}
+	api.RegisterBootstrap(p.internal, p.host) // a seed without a member answers as well
 	l, err := api.Listen(context.Background(), cfg.InternalAddr())
 	if err != nil {
 		return fmt.Errorf("internal_port_range: %w", err)
