A seed that never began keeps the others from no first start

A seed ended before all had answered, and started again without bootstrap, has a drawn id, which counted as having taken part: the others would all have begun as new members, of no core. What counts is a term or a log alone; the proof in decisions/0015 needs no more, as all seeds must answer.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -125,12 +125,12 @@
 	return c, nil
 }
 
-// TookPart tells whether this member may have taken part in an agreement: a first voter
-// that knows of no term yet has not.
+// TookPart tells whether this member has taken part in an agreement: it knows of a term,
+// or of something agreed on.
 func (c *Core) TookPart() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return c.node.Term() > 0 || c.node.LastIndex() > 0 || c.id != BootstrapID(c.cfg.Addr)
+	return c.node.Term() > 0 || c.node.LastIndex() > 0
 }
 
 // decoded is a snapshot as it is answered from.
--- a/process/founding_test.go
+++ b/process/founding_test.go
@@ -107,3 +107,17 @@
 		t.Errorf("what is confirmed is gone: revision %d", s.Revision)
 	}
 }
+
+// A seed that was ended before it had begun anything, and is there again without
+// bootstrap, keeps the others from no first start: it has taken part in nothing. It joins.
+// (Where each new id counts as one that took part, nobody begins.)
+func TestSeedThatNeverBegan(t *testing.T) {
+	t.Parallel()
+	c := newCore3(t)
+	c.plain = 0
+	for i := range c.hosts {
+		c.start(i, nil)
+	}
+	c.bring(0, 7)
+	c.until(func() bool { return c.votes(0, 7) && c.votes(1, 7) && c.votes(2, 7) })
+}
--- a/process/host_test.go
+++ b/process/host_test.go
@@ -173,10 +173,11 @@
 	dirs  []string
 	hosts []*host
 	stops []func()
+	plain int // the machine whose settings have bootstrap off; -1: none
 }
 
 func newCore3(t *testing.T) *core3 {
-	c := &core3{t: t, hosts: make([]*host, 3), stops: make([]func(), 3)}
+	c := &core3{t: t, plain: -1, hosts: make([]*host, 3), stops: make([]func(), 3)}
 	pid := os.Getpid()
 	ip := fmt.Sprintf("127.%d.%d.%d", 64+pid>>16%64, pid>>8%256, 251+cores3.Add(1)%4) // no other test's, so that ports stay free
 	for _, port := range freePorts(t, ip, 3) {
@@ -187,14 +188,14 @@
 
 var cores3 atomic.Int32
 
-// start starts a machine whose settings have bootstrap on.
+// start starts a machine.
 func (c *core3) start(i int, between func(*logstore.Store) controlplane.Store) {
 	c.t.Helper()
 	conns, log := api.NewConns(nil), slog.New(slog.DiscardHandler)
 	h := &host{dir: c.dirs[i], client: &controlplane.Client{Conns: conns, Log: log}, log: log, between: between,
 		cfg: controlplane.CoreConfig{Addr: c.addrs[i], Seeds: c.addrs, Voters: 3, Conns: conns, Log: log, Seed: uint64(i)}}
 	h.client.Learn("", c.addrs)
-	if err := h.begin(true); err != nil {
+	if err := h.begin(i != c.plain); err != nil {
 		c.t.Fatal(err)
 	}
 	l, err := net.Listen("tcp", c.addrs[i])
