A member's lock is not held while the disk writes or a configuration is split

Ruled out: the followers' path alone (the leader's time goes into checking and splitting as well).

Change: one task stores, sends and applies batch after batch, and gives the mutex up meanwhile. What promises nothing that isn't on disk goes out beside a write: a leader's own messages, and answers to heartbeats up to what is stored. All else waits for its batch. A leader answers with a lease only when it has applied what was agreed on when its round was confirmed. An order that is brought again is not checked again. The rows of the order are what limiters are told.

--- a/changes/table.go
+++ b/changes/table.go
@@ -47,33 +47,59 @@
 // Rows returns the rows. They are not to be changed.
 func (t *Table) Rows() map[string][]byte { return t.rows }
 
-// Replace takes in the rows of a newer version; older and equal ones are passed
-// over. The rows are the table's from then on.
-func (t *Table) Replace(version uint64, rows map[string][]byte) {
-	if version <= t.version {
-		return
-	}
-	var keys []string
+// Delta is how the rows of one version differ from those of the one before.
+type Delta struct {
+	keys []string
+	sum  uint64 // the exclusive or of the marks that come and go
+}
+
+// Compare returns how rows differ from those before. It touches no table, so it may
+// run beside one that is in use.
+func Compare(before, rows map[string][]byte) (d Delta) {
+	left := len(before) // rows of before that are not found in rows
 	for k, v := range rows {
-		old, had := t.rows[k]
+		old, had := before[k]
+		if had {
+			left--
+		}
 		if had && bytes.Equal(old, v) {
 			continue
 		}
 		if had {
-			t.sum ^= Mark(k, old)
+			d.sum ^= Mark(k, old)
 		}
-		t.sum ^= Mark(k, v)
-		keys = append(keys, k)
+		d.sum ^= Mark(k, v)
+		d.keys = append(d.keys, k)
+	}
+	if left == 0 {
+		return d
 	}
-	for k, v := range t.rows {
+	for k, v := range before {
 		if _, is := rows[k]; !is {
-			t.sum ^= Mark(k, v)
-			keys = append(keys, k)
+			d.sum ^= Mark(k, v)
+			d.keys = append(d.keys, k)
 		}
 	}
+	return d
+}
+
+// Replace takes in the rows of a newer version; older and equal ones are passed
+// over. The rows are the table's from then on.
+func (t *Table) Replace(version uint64, rows map[string][]byte) {
+	if version > t.version {
+		t.Apply(version, rows, Compare(t.rows, rows))
+	}
+}
+
+// Apply is Replace with rows that were compared to [Table.Rows] before.
+func (t *Table) Apply(version uint64, rows map[string][]byte, d Delta) {
+	if version <= t.version {
+		return
+	}
+	t.sum ^= d.sum
 	if t.version != 0 {
-		t.steps = append(t.steps, step{t.version, keys})
-		t.changed += len(keys)
+		t.steps = append(t.steps, step{t.version, d.keys})
+		t.changed += len(d.keys)
 	}
 	for len(t.steps) > mostSteps || len(t.steps) > 0 && t.changed > mostChanged {
 		t.changed -= len(t.steps[0].keys)
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -22,6 +22,7 @@
 	tickEvery      = 50 * time.Millisecond
 	electionTicks  = 10 // 0.5 to 1 s without a leader
 	heartbeatTicks = 2
+	stallTicks     = 2 * electionTicks // a disk that keeps a member waiting so long counts as failed
 )
 
 // CoreConfig is what a member is told.
@@ -48,11 +49,20 @@
 	rounds  uint64        // confirmed when heard was last closed
 	role    agreement.Role
 	leader  agreement.ID
-	configs changes.Table // the rows of the configuration
+	configs changes.Table    // the rows of the configuration
+	split   *api.ConfigSplit // ... as they stood in it; nil: none was taken yet
+	checked *checked         // what an operator brought last
 	servers serverList
 	asks    asks
 	ticks   int
 	keeper  keeper
+	// carrying: a task carries out what the node has ready, one batch after the other;
+	// writes is how many ticks it has been waiting for the disk.
+	carrying bool
+	writing  bool
+	writes   int
+	save     func(agreement.Ready) error
+	withheld []agreement.Message // until what they promise is on disk
 	// diskDown: nothing is promised or answered, as the disk takes no writes or, where
 	// halted says why, as this member can't carry on what the others agreed on.
 	diskDown bool
@@ -108,6 +118,7 @@
 		return nil, fmt.Errorf("%w: snapshot: %v", logstore.ErrCorrupt, err)
 	}
 	c.takeOver(d)
+	c.save = cfg.Store.Save
 	c.node = agreement.New(agreement.Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: cfg.Seed, Check: c.check}, st)
 	cfg.Log.Info("core member", "id", fmt.Sprintf("%x", uint64(id)), "entries", len(st.Entries), "term", st.Hard.Term,
 		"revision", c.state.Revision, "members", len(st.Snapshot.Members))
@@ -118,8 +129,7 @@
 type decoded struct {
 	index, term uint64
 	state       State
-	revision    uint64
-	rows        map[string][]byte // nil: no configuration was taken yet
+	split       *api.ConfigSplit // nil: no configuration was taken yet
 }
 
 // decode reads a snapshot whole, down to what limiters are told of it.
@@ -131,23 +141,25 @@
 	if err := cbor.Unmarshal(s.Data, &d.state); err != nil {
 		return nil, err
 	}
-	d.revision, d.rows, err = tabulate(&d.state)
+	d.split, err = tabulate(&d.state, nil)
 	return d, err
 }
 
-// tabulate returns the newest configuration as limiters are told it.
-func tabulate(s *State) (revision uint64, rows map[string][]byte, err error) {
+// tabulate returns the newest configuration as limiters are told it, nil where there is
+// none. What it shares with the one before is taken over from that.
+func tabulate(s *State, before *api.ConfigSplit) (*api.ConfigSplit, error) {
 	if s.Revision == 0 {
-		return 0, nil, nil
+		return nil, nil
 	}
 	data, err := s.Config()
 	if err != nil {
-		return 0, nil, err
+		return nil, err
 	}
-	if revision, rows, err = api.ConfigRows(data); err == nil && revision != s.Revision {
-		err = fmt.Errorf("revision %d holds one that says %d", s.Revision, revision)
+	split, err := api.SplitConfig(data, before)
+	if err == nil && split.Revision != s.Revision {
+		err = fmt.Errorf("revision %d holds one that says %d", s.Revision, split.Revision)
 	}
-	return revision, rows, err
+	return split, err
 }
 
 // tellable tells why a configuration that is sound could not be told to limiters once it
@@ -178,8 +190,8 @@
 // takeOver makes a snapshot what is answered from.
 func (c *Core) takeOver(d *decoded) {
 	c.state = d.state
-	if d.rows != nil {
-		c.configs.Replace(d.revision, d.rows)
+	if c.split = d.split; d.split != nil {
+		c.configs.Replace(d.split.Revision, d.split.Rows)
 	}
 }
 
@@ -213,6 +225,7 @@
 		case <-t.C:
 		}
 		c.mu.Lock()
+		c.watchDisk()
 		if !c.diskDown {
 			c.node.Tick()
 			c.ticks++
@@ -237,48 +250,143 @@
 	c.process()
 }
 
-// process carries out what the node has ready. Called under the mutex.
+// process has what the node has ready carried out. Called under the mutex. What needs the
+// disk or is to be applied is left to a task; see carry.
 func (c *Core) process() {
-	for c.halted == "" {
+	for c.halted == "" && (c.ctx == nil || c.ctx.Err() == nil) {
 		r := c.node.Ready()
-		if r.Empty() {
+		if c.carrying {
+			if !c.diskDown {
+				c.sendFree(&r)
+			}
 			break
 		}
-		if r.MustSync() {
-			if err := c.cfg.Store.Save(r); err != nil {
-				if !c.diskDown {
-					c.cfg.Log.Error("the disk takes no writes: promising nothing", "err", err)
-				}
-				c.diskDown = true
-				c.node.Resign()
-				c.note()
-				return // tried again at the next tick; nothing has gone out
-			}
+		if r.Empty() && !c.node.SnapshotDue() {
+			break
+		}
+		if !r.Empty() && !r.MustSync() && len(r.Committed) == 0 && !c.diskDown {
+			c.enqueueAll(r.Messages)
+			c.node.Advance(r)
+			continue
 		}
-		if c.diskDown {
-			c.diskDown = false
-			c.cfg.Log.Info("the disk takes writes again")
+		c.carrying = true
+		if c.ctx == nil { // it takes no part yet
+			c.carry()
+			return
 		}
-		for _, m := range r.Messages {
+		c.tasks.Go(func() {
+			c.mu.Lock()
+			defer c.mu.Unlock()
+			c.carry()
+		})
+		break
+	}
+	if c.halted == "" {
+		c.note()
+	}
+}
+
+func (c *Core) enqueueAll(ms []agreement.Message) {
+	for _, m := range ms {
+		c.enqueue(m)
+	}
+}
+
+// sendFree sends of what a Ready has those messages that promise nothing which is not on
+// disk yet; the others are kept until what comes with them is. A leader's own messages
+// are free: it counts toward a majority only what it has stored itself.
+func (c *Core) sendFree(r *agreement.Ready) {
+	unsaved := r.Hard != nil || r.Snapshot != nil
+	for _, m := range r.Messages {
+		free := c.node.Role() == agreement.Leader ||
+			m.Kind == agreement.AppendReply && (m.Reject || len(r.Entries) == 0 || m.Index < r.Entries[0].Index)
+		if free && !unsaved {
 			c.enqueue(m)
+		} else {
+			c.withheld = append(c.withheld, m)
 		}
-		if r.Snapshot != nil && !c.restore(r.Snapshot) {
-			return
+	}
+	c.node.Advance(agreement.Ready{Messages: r.Messages})
+}
+
+// carry carries out what the node has ready, one batch after the other: store, then send,
+// then apply. Called under the mutex, which it gives up for what takes long, so that
+// heartbeats, watches and leases don't wait for the disk or for a large configuration.
+// Nothing else changes the state meanwhile, or what the node counts as stored and applied.
+func (c *Core) carry() {
+	for c.halted == "" {
+		r := c.node.Ready()
+		if r.Empty() && len(c.withheld) == 0 {
+			if c.node.SnapshotDue() && c.compact() {
+				continue
+			}
+			break
 		}
-		before, news := c.state, false
-		for _, e := range r.Committed {
-			news = c.apply(e) || news
+		if !c.carryOut(r) {
+			break
 		}
-		if news && !c.tell(before) {
-			return // they count as not applied: nobody is answered from before them
+	}
+	c.carrying = false
+	if c.halted == "" {
+		c.note()
+	}
+}
+
+// carryOut carries out one batch; false: it goes no further now.
+func (c *Core) carryOut(r agreement.Ready) bool {
+	c.sendFree(&r)
+	due := c.withheld // with this batch on disk all of them hold
+	c.withheld = nil
+	if r.MustSync() {
+		if err := c.write(func() error { return c.save(r) }); err != nil {
+			if !c.diskDown {
+				c.cfg.Log.Error("the disk takes no writes: promising nothing", "err", err)
+			}
+			c.diskDown = true
+			c.withheld = append(due, c.withheld...)
+			c.node.Resign()
+			return false // tried again at the next tick; nothing has gone out
 		}
-		c.node.Advance(r)
 	}
-	if c.halted != "" {
+	if c.diskDown {
+		c.diskDown = false
+		c.cfg.Log.Info("the disk takes writes again")
+	}
+	c.enqueueAll(due)
+	if r.Snapshot != nil && !c.restore(r.Snapshot) {
+		return false
+	}
+	c.node.Advance(agreement.Ready{Hard: r.Hard, Snapshot: r.Snapshot, Entries: r.Entries})
+	return len(r.Committed) == 0 || c.applyAll(r.Committed)
+}
+
+// write waits for the disk with the mutex given up. A member whose disk keeps it waiting
+// for longer than an election takes promises and answers nothing meanwhile.
+func (c *Core) write(f func() error) error {
+	c.writing, c.writes = true, 0
+	c.mu.Unlock()
+	err := f()
+	c.mu.Lock()
+	c.writing = false
+	if c.writes >= stallTicks {
+		c.diskDown = false
+		c.cfg.Log.Info("the disk answers again", "ticks", c.writes)
+	}
+	return err
+}
+
+// watchDisk counts how long the disk has been waited for.
+func (c *Core) watchDisk() {
+	if !c.writing {
 		return
 	}
-	c.compact()
-	c.note()
+	if c.writes++; c.writes == stallTicks {
+		c.cfg.Log.Error("the disk does not answer: promising nothing")
+		c.diskDown = true
+		c.node.Resign()
+		c.note()
+		c.signal()
+	}
 }
 
 // restore takes a snapshot over that the node has installed, and tells those who wait.
@@ -286,7 +394,10 @@
 	d := c.decoded
 	if d == nil || d.index != s.Index || d.term != s.Term {
 		var err error
-		if d, err = decode(s); err != nil { // it was checked before it was installed
+		c.mu.Unlock()
+		d, err = decode(s)
+		c.mu.Lock()
+		if err != nil { // it was checked before it was installed
 			c.halt("a snapshot can't be read", err)
 			return false
 		}
@@ -304,21 +415,52 @@
 	return true
 }
 
-// tell has limiters told the newest configuration after what was agreed on is applied:
-// of several at once, as after a start, the last alone. before is the state without
-// them; false: the configuration can't be told, and this member is halted.
-func (c *Core) tell(before State) bool {
-	revision, rows, err := tabulate(&c.state)
+// applyAll applies what was agreed on, and has limiters told the newest configuration:
+// of several at once, as after a start, the last alone. Its rows are made before, with
+// the mutex given up, and the batch is applied in one step. false: the configuration
+// can't be told; then nothing of the batch is applied, and this member is halted.
+func (c *Core) applyAll(es []agreement.Entry) bool {
+	split, delta, err := c.prepare(es)
 	if err != nil { // it was checked before it was proposed, by a member that could tell it
-		revision, c.state = c.state.Revision, before
-		c.halt(fmt.Sprintf("the configuration %d can't be told", revision), err)
+		c.halt("a configuration that was agreed on can't be told", err)
 		return false
 	}
-	c.configs.Replace(revision, rows)
-	c.signal()
+	for _, e := range es {
+		c.apply(e)
+	}
+	if split != nil {
+		c.split = split
+		c.configs.Apply(split.Revision, split.Rows, delta)
+		c.signal()
+	}
+	c.node.Advance(agreement.Ready{Committed: es})
+	c.hear()
 	return true
 }
 
+// prepare returns the configuration that there will be with entries applied, and how its
+// rows differ from those before; nil where they bring none. It gives the mutex up.
+func (c *Core) prepare(es []agreement.Entry) (split *api.ConfigSplit, delta changes.Delta, err error) {
+	state, before, rows, known := c.state, c.split, c.configs.Rows(), c.checked
+	c.mu.Unlock()
+	defer c.mu.Lock()
+	revision := state.Revision
+	for _, e := range es {
+		if len(e.Data) > 0 {
+			state.Apply(e.Data)
+		}
+	}
+	if state.Revision == revision {
+		return nil, delta, nil
+	}
+	if known != nil && known.brings(&state) {
+		split = known.split
+	} else if split, err = tabulate(&state, before); err != nil {
+		return nil, delta, fmt.Errorf("revision %d: %w", state.Revision, err)
+	}
+	return split, changes.Compare(rows, split.Rows), nil
+}
+
 // apply carries out an entry that was agreed on, and tells whether it brought a
 // configuration.
 func (c *Core) apply(e agreement.Entry) (news bool) {
@@ -332,22 +474,23 @@
 	return news
 }
 
-// compact cuts the log behind a snapshot where that is due.
-func (c *Core) compact() {
-	if !c.node.SnapshotDue() {
-		return
-	}
+// compact cuts the log behind a snapshot; false: none could be made.
+func (c *Core) compact() bool {
 	c.encoded++
-	data, err := cbor.Marshal(c.state)
+	index, state := c.node.Applied(), c.state
+	c.mu.Unlock()
+	data, err := cbor.Marshal(state)
+	c.mu.Lock()
 	if err != nil {
 		c.cfg.Log.Error("encoding a snapshot", "err", err)
-		return
+		return false
 	}
-	if s := c.node.Compact(c.node.Applied(), data); s != nil {
-		if err := c.cfg.Store.Compact(*s); err != nil {
+	if s := c.node.Compact(index, data); s != nil {
+		if err := c.write(func() error { return c.cfg.Store.Compact(*s) }); err != nil {
 			c.cfg.Log.Warn("compacting the log", "err", err)
 		}
 	}
+	return true
 }
 
 // note tells those who wait of changed roles and confirmed rounds.
--- /dev/null
+++ b/controlplane/disk_test.go
@@ -0,0 +1,215 @@
+package controlplane
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"testing"
+
+	"example.org/elmspan/agreement"
+	"example.org/elmspan/api"
+)
+
+// slowDisk is a member whose writes wait until the test lets them go on; what it sends is
+// kept in its lanes.
+type slowDisk struct {
+	*Core
+	t       *testing.T
+	entered chan struct{}
+	result  chan error
+}
+
+func newSlowDisk(t *testing.T) *slowDisk {
+	c, store, err := openMember(t, agreement.Snapshot{Index: 5, Term: 1, Data: good(t, 3)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	d := &slowDisk{c, t, make(chan struct{}), make(chan error)}
+	over := make(chan struct{})
+	c.save = func(r agreement.Ready) error {
+		select {
+		case d.entered <- struct{}{}:
+		case <-over:
+			return errors.New("the test is over")
+		}
+		select {
+		case err := <-d.result:
+			if err != nil {
+				return err
+			}
+		case <-over:
+		}
+		return store.Save(r)
+	}
+	c.ctx = t.Context()
+	for _, to := range []agreement.ID{2, 3} {
+		for _, bulk := range []bool{false, true} {
+			c.lanes[laneKey{to, bulk}] = &lane{q: queue{bulk: bulk}, wake: make(chan struct{}, 1)}
+		}
+	}
+	t.Cleanup(func() {
+		close(over)
+		c.tasks.Wait()
+	})
+	return d
+}
+
+// get has messages of member 2 come.
+func (d *slowDisk) get(ms ...agreement.Message) {
+	d.t.Helper()
+	for i := range ms {
+		ms[i].From, ms[i].To, ms[i].Term = 2, 1, cmp.Or(ms[i].Term, 4)
+	}
+	if _, err := d.Deliver(d.t.Context(), &api.Deliver{From: 2, Addr: "b", Messages: ms}); err != nil {
+		d.t.Fatal(err)
+	}
+}
+
+// sent takes what waits to be sent to member 2.
+func (d *slowDisk) sent() (out []agreement.Message) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	for _, bulk := range []bool{false, true} {
+		l := d.lanes[laneKey{2, bulk}]
+		out = append(out, l.take()...)
+		l.done()
+	}
+	return out
+}
+
+// write lets one write go on.
+func (d *slowDisk) write(err error) {
+	<-d.entered
+	d.result <- err
+}
+
+// rest waits until nothing is carried out any more.
+func (d *slowDisk) rest() { d.tasks.Wait() }
+
+// tick has ticks pass as Run does.
+func (d *slowDisk) tick(n int) {
+	for range n {
+		d.mu.Lock()
+		d.watchDisk()
+		if !d.diskDown {
+			d.node.Tick()
+		}
+		d.process()
+		d.mu.Unlock()
+	}
+}
+
+func entry(index, term uint64, data []byte) agreement.Message {
+	return agreement.Message{Kind: agreement.Append, Index: index - 1, LogTerm: 1, Entries: []agreement.Entry{{Index: index, Term: term, Data: data}}}
+}
+
+// While a follower waits for its disk it answers heartbeats and callers; what it has been
+// sent meanwhile it acknowledges only once that is on disk.
+func TestHeartbeatsDoNotWaitForTheDisk(t *testing.T) {
+	t.Parallel()
+	d := newSlowDisk(t)
+	beat := agreement.Message{Kind: agreement.Append, Index: 5, LogTerm: 1, Round: 3}
+	d.get(beat)
+	d.write(nil) // its new term
+	d.rest()
+	d.sent()
+	d.get(entry(6, 4, nil))
+	<-d.entered
+	beat.Round = 4
+	d.get(beat)
+	out := d.sent()
+	if len(out) != 1 || out[0].Kind != agreement.AppendReply || out[0].Round != 4 || out[0].Index != 5 {
+		t.Errorf("while the disk writes: %+v", out)
+	}
+	if s := d.Status(); s.Revision != 3 || s.DiskFails {
+		t.Errorf("%+v", s)
+	}
+	d.result <- nil
+	d.rest()
+	if out = d.sent(); len(out) != 1 || out[0].Index != 6 {
+		t.Errorf("when it has written: %+v", out)
+	}
+	// A vote is a promise as well.
+	d.tick(2 * electionTicks) // else it stays with its leader
+	d.sent()
+	d.get(agreement.Message{Kind: agreement.Vote, Term: 9, Index: 6, LogTerm: 4, Force: true})
+	<-d.entered
+	if out = d.sent(); len(out) != 0 {
+		t.Errorf("before its vote is on disk: %+v", out)
+	}
+	d.result <- errors.New("full")
+	d.rest()
+	if out = d.sent(); len(out) != 0 || !d.Status().DiskFails {
+		t.Errorf("when the disk has refused: %+v", out)
+	}
+	d.tick(1)
+	d.write(nil)
+	d.rest()
+	if out = d.sent(); len(out) == 0 || out[0].Kind != agreement.VoteReply || out[0].Reject || d.Status().DiskFails {
+		t.Errorf("when it has taken it: %+v", out)
+	}
+}
+
+// lead makes the member the leader of a term.
+func (d *slowDisk) lead() uint64 {
+	d.t.Helper()
+	for d.node.Role() != agreement.Candidate {
+		d.tick(1)
+	}
+	term := d.node.Term() + 1
+	d.get(agreement.Message{Kind: agreement.PreVoteReply, Term: term})
+	d.write(nil)
+	d.rest()
+	d.get(agreement.Message{Kind: agreement.VoteReply, Term: term})
+	if d.node.Role() != agreement.Leader {
+		d.t.Fatal("it does not lead")
+	}
+	return term
+}
+
+// A leader that waits for its disk goes on beating, and says nothing of what the others
+// have agreed on meanwhile before it has applied it itself. One whose disk keeps it
+// waiting too long gives up its lead, and takes part again when the disk answers.
+func TestLeaderThatWaitsForItsDisk(t *testing.T) {
+	t.Parallel()
+	d := newSlowDisk(t)
+	term := d.lead()
+	<-d.entered // its first entry, 6
+	beats := 0
+	for range 3 {
+		d.tick(heartbeatTicks)
+		for _, m := range d.sent() {
+			if m.Kind == agreement.Append && len(m.Entries) == 0 {
+				beats++
+			}
+		}
+	}
+	if beats < 2 {
+		t.Errorf("%d heartbeats while the disk writes", beats)
+	}
+	// Agreed on by the two others with it: the other's disk and, later, this one's.
+	reply := agreement.Message{Kind: agreement.AppendReply, Term: term, Index: 6, Round: 1 << 20}
+	d.get(reply)
+	if d.node.Applied() >= 6 {
+		t.Fatal("applied before it is on disk")
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	cancel()
+	if n, err := d.Watch(ctx, &api.Watch{}); err != nil || n.Lease || n.Config != nil {
+		t.Errorf("answered before it is applied: %+v, %v", n, err)
+	}
+	d.tick(stallTicks)
+	if d.Leads() || d.node.Role() == agreement.Leader || !d.Status().DiskFails {
+		t.Error("it leads though its disk doesn't answer")
+	}
+	d.sent()
+	d.get(reply)
+	if out := d.sent(); len(out) != 0 {
+		t.Errorf("without a disk it says %+v", out)
+	}
+	d.result <- nil
+	d.rest()
+	if s := d.Status(); s.DiskFails {
+		t.Errorf("%+v", s)
+	}
+}
--- a/controlplane/serve.go
+++ b/controlplane/serve.go
@@ -9,46 +9,84 @@
 	"example.org/elmspan/changes"
 )
 
-// Replace takes a configuration that follows on another.
-func (c *Core) Replace(ctx context.Context, q *api.Replace) (*api.Result, error) {
-	conf, err := api.ParseConfig(q.Config)
+// checked is a configuration that an operator brought, with all that was made of it: it is
+// often brought again, and it is told to limiters once it is agreed on.
+type checked struct {
+	print fingerprint
+	split *api.ConfigSplit
+	base  uint64
+	entry []byte
+}
+
+// brings tells whether a state's newest configuration is this one.
+func (k *checked) brings(s *State) bool {
+	n := len(s.Taken)
+	return n > 0 && s.Revision == k.split.Revision && s.Taken[n-1] == taken{s.Revision, k.print}
+}
+
+// checkConfig returns a configuration that follows on another, as it is proposed.
+func (c *Core) checkConfig(q *api.Replace) (*checked, error) {
+	print := fingerprintOf(q.Config)
+	c.mu.Lock()
+	last, before := c.checked, c.split
+	c.mu.Unlock()
+	if last != nil && last.print == print && last.base == q.Base {
+		return last, nil
+	}
+	split, err := api.CheckConfig(q.Config, before)
 	if err == nil {
 		err = tellable(q.Config)
 	}
 	if err != nil {
-		return &api.Result{Status: http.StatusBadRequest, Why: err.Error()}, nil
+		return nil, err
 	}
-	data, err := newProposal(q.Base, conf.Revision, q.Config)
+	entry, err := newProposal(q.Base, split.Revision, q.Config)
 	if err != nil {
 		return nil, err
 	}
+	k := &checked{print, split, q.Base, entry}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	r := c.call(ctx, &pending{base: q.Base, revision: conf.Revision, print: fingerprintOf(q.Config), data: data})
+	if c.leads() {
+		c.checked = k
+	}
+	return k, nil
+}
+
+// Replace takes a configuration that follows on another.
+func (c *Core) Replace(ctx context.Context, q *api.Replace) (*api.Result, error) {
+	k, err := c.checkConfig(q)
+	if err != nil {
+		return &api.Result{Status: http.StatusBadRequest, Why: err.Error()}, nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	r := c.call(ctx, &pending{base: q.Base, revision: k.split.Revision, print: k.print, data: k.entry})
 	return &r, nil
 }
 
 // Get reads what the core agrees on, as of after the call.
 func (c *Core) Get(ctx context.Context, q *api.Read) (*api.Result, error) {
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	r := c.call(ctx, &pending{get: true})
+	state := c.state
+	c.mu.Unlock()
 	if r.Status != http.StatusOK {
 		return &r, nil
 	}
 	var err error
 	switch {
 	case q.Versions:
-		r.Versions = c.state.Versions()
+		r.Versions = state.Versions()
 	case q.State:
-		r.Config, err = Export(&c.state)
+		r.Config, err = Export(&state)
 	case q.Revision != 0:
 		var known bool
-		if r.Config, known, err = c.state.Version(q.Revision); err == nil && !known {
-			return &api.Result{Status: http.StatusNotFound, Why: fmt.Sprintf("revision %d is not remembered; there are %v", q.Revision, c.state.Versions())}, nil
+		if r.Config, known, err = state.Version(q.Revision); err == nil && !known {
+			return &api.Result{Status: http.StatusNotFound, Why: fmt.Sprintf("revision %d is not remembered; there are %v", q.Revision, state.Versions())}, nil
 		}
 	default:
-		r.Config, err = c.state.Config()
+		r.Config, err = state.Config()
 	}
 	if err != nil {
 		return nil, err
--- a/controlplane/watch.go
+++ b/controlplane/watch.go
@@ -75,14 +75,15 @@
 
 // confirm waits until a majority has answered a round of heartbeats that began
 // after this call: this member led then, and all that was acknowledged before
-// is applied here. Called under the mutex, which it gives up while it waits.
-func (c *Core) confirm(ctx context.Context) bool {
+// is agreed on up to index. Called under the mutex, which it gives up while it waits.
+func (c *Core) confirm(ctx context.Context) (index uint64, ok bool) {
 	need, term := c.node.NextRound(), c.node.Term()
 	c.beatSoon()
-	return c.wait(ctx, func() (ok, over bool) {
+	ok = c.wait(ctx, func() (ok, over bool) {
 		over = !c.leads() || c.node.Term() != term
 		return !over && c.node.Serves() && c.node.Confirmed() >= need, over
 	})
+	return c.node.Commit(), ok
 }
 
 // wait waits until something is so, or can't be any more, or takes too long.
@@ -118,17 +119,23 @@
 func (c *Core) Confirm(ctx context.Context, _ *api.None) (*api.Confirmation, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.leads() || !c.confirm(ctx) {
+	if !c.leads() {
 		return &api.Confirmation{}, nil
 	}
-	return &api.Confirmation{OK: true, Index: c.node.Commit(), Servers: c.servers.table.Version(), ClockMs: c.servers.clockMs()}, nil
+	index, ok := c.confirm(ctx)
+	if !ok {
+		return &api.Confirmation{}, nil
+	}
+	return &api.Confirmation{OK: true, Index: index, Servers: c.servers.table.Version(), ClockMs: c.servers.clockMs()}, nil
 }
 
 // confirmed waits until it is sure that all that was acknowledged before this
 // call is applied here, and that the list of servers is the leader's.
 func (c *Core) confirmed(ctx context.Context) bool {
 	if c.leads() {
-		return c.confirm(ctx)
+		index, ok := c.confirm(ctx)
+		// What is agreed on may still be on its way into what is answered here.
+		return ok && c.wait(ctx, func() (ok, over bool) { return c.node.Applied() >= index, c.diskDown })
 	}
 	if c.leaderAddr() == "" || c.diskDown {
 		return false
@@ -153,7 +160,7 @@
 		return false
 	}
 	return a.c.OK && c.wait(ctx, func() (ok, over bool) {
-		return c.node.Applied() >= a.c.Index && c.servers.table.Version() >= a.c.Servers, false
+		return c.node.Applied() >= a.c.Index && c.servers.table.Version() >= a.c.Servers, c.diskDown
 	})
 }
 
