A new leader tells the list of servers by difference from the one before

Cause: a new leader seeded its list with the time at which a warm server had become so replaced by now. With the first news each of 9,700 rows differed, more than the table remembers, and each limiter was told the whole (126 KB). Versions already went on: max(version+1, term<<32). Ruled out: the platform's answer (its members compared equal), the versions. Change: until when a server is slow is taken over as it is in the row. The latch is as it was (TestListOverAChangeOfLeader).

--- a/controlplane/servers.go
+++ b/controlplane/servers.go
@@ -30,11 +30,12 @@
 
 // lead has this member go on with what it was told as a follower.
 func (l *serverList) lead() {
-	now := l.clockMs()
 	l.roster = discovery.Roster{}
 	for id, row := range l.table.Rows() {
-		if s, err := api.ParseServerRow(id, row, now); err == nil {
-			l.roster.Seed(s, now+s.WarmupMs)
+		// At the beginning of the table's clock, so that until when a server is slow stays
+		// what it was: else each row would change, and limiters be told the whole.
+		if s, err := api.ParseServerRow(id, row, 0); err == nil {
+			l.roster.Seed(s, s.WarmupMs)
 		}
 	}
 }
--- /dev/null
+++ b/controlplane/servers_test.go
@@ -0,0 +1,46 @@
+package controlplane
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"example.org/elmspan/api"
+	"example.org/elmspan/changes"
+)
+
+// A new leader that was told the list goes on from it: limiters are told what has changed
+// since, not the whole, however long its servers have been there.
+func TestListGoesOnUnderANewLeader(t *testing.T) {
+	t.Parallel()
+	var first, next serverList
+	var answer []api.Server
+	for i := range 9700 {
+		answer = append(answer, api.Server{ID: fmt.Sprint("i-", i), Upstream: "a", Addr: fmt.Sprint("10.0.0.1:", i), Zone: "z", State: api.InService, WarmupMs: float64(i % 3)})
+	}
+	first.start = time.Now().Add(-time.Hour)
+	if _, _, err := first.merge(3, answer); err != nil {
+		t.Fatal(err)
+	}
+	b, err := first.table.Since(0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	p, err := changes.Open(b.Data)
+	if err == nil {
+		err = next.told(p, first.clockMs()+60_000)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	version := next.table.Version()
+	next.lead()
+	answer[7].State = api.Draining
+	news, _, err := next.merge(5, answer)
+	if err != nil || !news || next.table.Version() <= version {
+		t.Fatalf("news %v, version %d after %d, %v", news, next.table.Version(), version, err)
+	}
+	if b, err = next.table.Since(version); err != nil || b.From != version || len(b.Data) > 200 {
+		t.Errorf("from version %d, %d bytes, %v", b.From, len(b.Data), err)
+	}
+}
