Calls between processes bring no pings that measure the way; what a process spends

Cause: gRPC estimates the window of a connection by a ping, which is answered, with each message that comes.

Change: windows of 1 MB, fixed, at both ends.

--- a/api/rpc.go
+++ b/api/rpc.go
@@ -27,6 +27,12 @@
 	// Buffers are small, as memory is dear and messages are.
 	ioBuffer   = 4 << 10
 	maxMessage = MaxConfig + 1<<20
+	// window is what may be under way to a process that has not read it yet. It is fixed:
+	// gRPC's own estimate of it sends a ping, which is answered, with each message that
+	// comes, and nearly all of ours are shorter than the smallest window. A megabyte fills
+	// a link of 70 Mbit/s over 110 ms there and back, and counts as memory only where one
+	// sends faster than the other reads.
+	window = 1 << 20
 )
 
 type codec struct{}
@@ -256,6 +262,7 @@
 		creds = credentials.NewTLS(ring.Server())
 	}
 	return grpc.NewServer(grpc.Creds(creds), grpc.ReadBufferSize(ioBuffer), grpc.WriteBufferSize(ioBuffer), grpc.SharedWriteBuffer(true),
+		grpc.StaticStreamWindowSize(window), grpc.StaticConnWindowSize(window),
 		grpc.MaxRecvMsgSize(maxMessage), grpc.MaxConcurrentStreams(1024))
 }
 
@@ -279,6 +286,7 @@
 		grpc.WithTransportCredentials(creds),
 		grpc.WithContextDialer(dial),
 		grpc.WithReadBufferSize(ioBuffer), grpc.WithWriteBufferSize(ioBuffer), grpc.WithSharedWriteBuffer(true),
+		grpc.WithStaticStreamWindowSize(window), grpc.WithStaticConnWindowSize(window),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: 500 * time.Millisecond,
 			Backoff: backoff.Config{BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.3, MaxDelay: 400 * time.Millisecond}}),
 		grpc.WithDefaultCallOptions(grpc.CallContentSubtype(codecName), grpc.MaxCallRecvMsgSize(maxMessage)),
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -12,6 +12,7 @@
 	"log/slog"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime"
 	"runtime/debug"
 	"syscall"
@@ -23,6 +24,7 @@
 	"example.org/elmspan/internal/logbound"
 	"example.org/elmspan/process"
 	"example.org/elmspan/settings"
+	"example.org/elmspan/telemetry"
 )
 
 const gcPercent = 15 // memory is dearer than processor time
@@ -75,10 +77,11 @@
 	Tuning   string `help:"Path of the tuning file, if there is one; see docs/tuning.md." env:"ELMSPAN_TUNING_FILE" placeholder:"FILE"`
 	LogLevel string `help:"Least level of what is logged, before the tuning file's: debug, info, warn or error." default:"" enum:",debug,info,warn,error"`
 	LogJSON  bool   `help:"Log as JSON, a line each, whatever the tuning file says."`
+	Profile  string `help:"Write a CPU profile and what the process spent to files in this folder when it ends." placeholder:"DIR"`
 }
 
 // Run runs the process until SIGTERM.
-func (c *gatewayCmd) Run() error {
+func (c *gatewayCmd) Run() (failed error) {
 	// First of all: Go's default action on SIGHUP ends the program.
 	hup := make(chan os.Signal, 1)
 	signal.Notify(hup, syscall.SIGHUP)
@@ -87,6 +90,13 @@
 	if c.Settings == "" {
 		return fmt.Errorf("%s is not set: it names the settings file", settings.EnvFile)
 	}
+	if c.Profile != "" {
+		r, err := telemetry.Record(c.Profile, filepath.Base(filepath.Dir(c.Settings)))
+		if err != nil {
+			return fmt.Errorf("--profile: %w", err)
+		}
+		defer func() { failed = errors.Join(failed, r.Close()) }()
+	}
 	tune, err := settings.ReadTuning(c.Tuning)
 	if err != nil {
 		return err
--- a/cmd/elmspan/tools.go
+++ b/cmd/elmspan/tools.go
@@ -7,11 +7,13 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"path/filepath"
 	"runtime/debug"
 	"syscall"
 
 	"example.org/elmspan/emulator"
 	"example.org/elmspan/scenario"
+	"example.org/elmspan/telemetry"
 )
 
 type statusCmd struct{ controlFlag }
@@ -54,6 +56,7 @@
 	Dir     string  `help:"Folder for settings, data and logs; a new one below the system's for such where left out." placeholder:"DIR"`
 	CSV     string  `help:"Write a line for each second to this file." placeholder:"FILE"`
 	Debug   bool    `help:"Have the processes log all they do."`
+	Profile string  `help:"Have each process that ends in order write a CPU profile to this folder (go tool pprof -top FOLDER/*.pprof), and print what they spent." placeholder:"FOLDER"`
 }
 
 // Run plays the day. A broken rule is exit code 3.
@@ -81,6 +84,16 @@
 	if c.Debug {
 		program = append(program, "--log-level", "debug")
 	}
+	if c.Profile != "" {
+		dir, err := filepath.Abs(c.Profile)
+		if err == nil {
+			err = os.MkdirAll(dir, 0o755)
+		}
+		if err != nil {
+			return fmt.Errorf("--profile: %w", err)
+		}
+		program = append(program, "--profile", dir)
+	}
 	f, err := emulator.NewFleet(spec, program, c.Dir, os.Stderr)
 	if err != nil {
 		return err
@@ -92,6 +105,11 @@
 		return err
 	}
 	r.Write(os.Stdout)
+	if c.Profile != "" {
+		if err := telemetry.WriteSpent(os.Stdout, c.Profile); err != nil {
+			return err
+		}
+	}
 	if c.CSV != "" {
 		out, err := os.Create(c.CSV)
 		if err != nil {
