A limiter that starts again costs the others its row, not the whole fleet's

Change: membership.View.News tells of whom something has changed; the process and the gateway keep their copies by it (ChangePeers in place of SetPeers). The limiter is told who there is only where another one came, went or moved to another zone: one that starts again, at its address or another, is the same.

Tests: TestNewsKeepACopy, TestALimiterThatStartsAgainIsTheSame.

--- a/coreload/hollow/hollow.go
+++ b/coreload/hollow/hollow.go
@@ -153,6 +153,8 @@
 			return fleet[i].gateway.ChangeServers(r, 0)
 		}
 	}
+	again, gone := [1]api.Peer{w.peers[len(w.peers)-1]}, [1]api.Peer{w.peers[len(w.peers)-1]}
+	again[0].Life, again[0].Incarnation, gone[0].State = 1, 2, membership.Dead
 	steps := []struct {
 		name  string
 		bytes int
@@ -164,7 +166,7 @@
 		}},
 		{"took over the whole configuration", len(w.config), config(w.config)},
 		{"took over the whole list of servers", len(w.servers), servers(w.servers)},
-		{"knows the others", 0, func(i int) error { fleet[i].gateway.SetPeers(w.peers); return nil }},
+		{"knows the others", 0, func(i int) error { fleet[i].gateway.ChangePeers(w.peers); return nil }},
 		{"has their heartbeats' view", w.peerBytes, func(i int) error {
 			fleet[i].view = membership.NewView(w.peers[i%len(w.peers)])
 			fleet[i].view.Merge(1, w.peers)
@@ -173,7 +175,8 @@
 		{"one changed route", len(w.route), config(w.route)},
 		{"one changed quota", len(w.tenant), config(w.tenant)},
 		{fmt.Sprintf("%d servers replaced", s.Release), len(w.release), servers(w.release)},
-		{"one other limiter gone", 0, func(i int) error { fleet[i].gateway.SetPeers(w.peers[:len(w.peers)-1]); return nil }},
+		{"one other limiter started again", 0, func(i int) error { fleet[i].gateway.ChangePeers(again[:]); return nil }},
+		{"one other limiter gone", 0, func(i int) error { fleet[i].gateway.ChangePeers(gone[:]); return nil }},
 	}
 	for _, x := range steps {
 		got, err := step(x.name, s.Hollow, x.bytes, x.do)
--- a/coreload/hollow/hollow_test.go
+++ b/coreload/hollow/hollow_test.go
@@ -13,7 +13,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if len(r.Steps) != 9 || len(r.Quota) != 5 {
+	if len(r.Steps) != 10 || len(r.Quota) != 5 {
 		t.Errorf("%d and %d steps", len(r.Steps), len(r.Quota))
 	}
 	if held := r.Steps[1].HeapKB; held < 50 || held > 2000 {
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,7 +80,8 @@
 	mu       sync.Mutex // over the following
 	rng      *rand.Rand
 	limiter  *limiter.Limiter
-	addrs    map[uint64]netip.AddrPort // of other limiters
+	others   map[uint64]other // limiters, by the hashes of their names
+	regroups int              // how often the limiter was told who there is
 	conns    map[*clientConn]struct{}
 	servers  servers
 	waiting  map[*limiter.Flight]chan struct{} // for places on the link
@@ -97,7 +100,7 @@
 	seed, log := o.Seed, o.Log
 	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, stranger: o.Stranger, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
 		rules: attempt.Standard(),
-		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
+		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), others: map[uint64]other{},
 		conns: map[*clientConn]struct{}{}, waiting: map[*limiter.Flight]chan struct{}{}, open: listenersClose, linger: lingerFor, writeFor: writeFor}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
@@ -240,28 +243,45 @@
 	}
 }
 
-// SetPeers takes over which processes there are.
-func (g *Gateway) SetPeers(all []api.Peer) {
+// other is another limiter, as words reach it.
+type other struct {
+	addr netip.AddrPort
+	zone string
+}
+
+// ChangePeers takes in the processes of which something has changed. One that only
+// started again, at the same address or another, is the same limiter: the groups of
+// limiters and whose servers are whose stay as they are.
+func (g *Gateway) ChangePeers(changed []api.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var peers []quota.Member
-	clear(g.addrs)
-	for _, p := range all {
-		if p.Name == g.cfg.Name || !p.Edge || p.State == membership.Dead {
+	regroup := false
+	for _, p := range changed {
+		if p.Name == g.cfg.Name {
 			continue
 		}
+		g.met.Store(true)
+		id := xxhash.Sum64String(p.Name)
+		was, had := g.others[id]
 		addr, err := netip.ParseAddrPort(p.Addr)
-		if err != nil {
+		if !p.Edge || p.State == membership.Dead || err != nil {
+			delete(g.others, id)
+			regroup = regroup || had
 			continue
 		}
-		id := xxhash.Sum64String(p.Name)
-		g.addrs[id] = addr
-		peers = append(peers, quota.Member{ID: id, Zone: p.Zone})
+		g.others[id] = other{addr, p.Zone}
+		regroup = regroup || !had || was.zone != p.Zone
 	}
-	g.limiter.Peers(inMs(g.now()), peers)
-	if len(all) > 1 {
-		g.met.Store(true)
+	if !regroup {
+		return
 	}
+	peers := make([]quota.Member, 0, len(g.others))
+	for id, o := range g.others {
+		peers = append(peers, quota.Member{ID: id, Zone: o.zone})
+	}
+	slices.SortFunc(peers, func(a, b quota.Member) int { return cmp.Compare(a.ID, b.ID) })
+	g.limiter.Peers(inMs(g.now()), peers)
+	g.regroups++
 }
 
 // Settings takes over what a changed settings file may change while it runs.
--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -14,10 +14,13 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"example.org/elmspan/api"
 	"example.org/elmspan/changes"
 	"example.org/elmspan/dataplane/h1"
 	"example.org/elmspan/dataplane/words"
+	"example.org/elmspan/membership"
 	"example.org/elmspan/settings"
 	"example.org/elmspan/telemetry"
 )
@@ -444,3 +447,51 @@
 		t.Errorf("%d of %d words were taken in at the tick", heard, sent)
 	}
 }
+
+// Of 300 limiters one that starts again, at another address too, costs its own row: the
+// others are not looked at, and the limiter's groups stay. One that comes, goes or moves
+// to another zone has them formed anew.
+func TestALimiterThatStartsAgainIsTheSame(t *testing.T) {
+	g := newGateway(t)
+	var all []api.Peer
+	for i := range 300 {
+		all = append(all, api.Peer{Name: "limiter-" + strconv.Itoa(i), Addr: "127.0.0.1:" + strconv.Itoa(i+1), Zone: "z" + strconv.Itoa(i%5), Life: 1, Incarnation: 1, Edge: true})
+	}
+	g.ChangePeers(all)
+	regroups := func() (n, others int) {
+		g.mu.Lock()
+		defer g.mu.Unlock()
+		return g.regroups, g.limiter.Others()
+	}
+	again := []api.Peer{all[7]}
+	again[0].Life, again[0].Incarnation, again[0].Addr = 2, 2, "127.0.0.1:9999"
+	if n := testing.AllocsPerRun(100, func() { g.ChangePeers(again) }); n != 0 {
+		t.Errorf("a limiter that starts again costs %v allocations", n)
+	}
+	again[0].State = membership.Leaving
+	g.ChangePeers(again)
+	if n, others := regroups(); n != 1 || others != 300 {
+		t.Errorf("told %d times of %d", n, others)
+	}
+	g.mu.Lock()
+	if at := g.others[xxhash.Sum64String(again[0].Name)].addr.String(); at != again[0].Addr {
+		t.Errorf("words go to %s", at)
+	}
+	g.mu.Unlock()
+	for i, change := range []func(p *api.Peer){
+		func(p *api.Peer) { p.State = membership.Dead },
+		func(p *api.Peer) { p.State = membership.Alive },
+		func(p *api.Peer) { p.Zone = "elsewhere" },
+		func(p *api.Peer) { p.Edge = false },
+	} {
+		change(&again[0])
+		g.ChangePeers(again)
+		want := 300
+		if again[0].State == membership.Dead || !again[0].Edge {
+			want--
+		}
+		if n, others := regroups(); n != 2+i || others != want {
+			t.Errorf("change %d: told %d times of %d", i, n, others)
+		}
+	}
+}
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -42,7 +42,7 @@
 				}
 				out = sealed
 			}
-			g.udp.Send(out, g.addrs[to]) // a lost one heals with the next
+			g.udp.Send(out, g.others[to].addr) // a lost one heals with the next
 			g.link.Count(len(out))
 			g.meter.Count("elmspan_words_sent_total", 1)
 		})
--- a/membership/service.go
+++ b/membership/service.go
@@ -37,7 +37,8 @@
 	tasks  sync.WaitGroup
 }
 
-// New returns a service. onNews is told of all processes whenever something changes.
+// New returns a service. onNews is told of the processes of which something has changed,
+// this one among them, by one call at a time.
 func New(self api.Peer, seeds func() []string, conns *api.Conns, seed uint64, log *slog.Logger, onNews func([]api.Peer)) *Service {
 	return &Service{conns: conns, log: log, rng: rand.New(rand.NewPCG(seed, 0xbea7)), start: time.Now(), seeds: seeds,
 		view: NewView(self), active: map[string]bool{}, onNews: onNews}
@@ -163,6 +164,6 @@
 func (s *Service) news() {
 	if s.told != s.view.Changed {
 		s.told = s.view.Changed
-		s.onNews(s.view.All())
+		s.onNews(s.view.News())
 	}
 }
--- a/membership/view.go
+++ b/membership/view.go
@@ -49,8 +49,9 @@
 	beatAt  time.Duration
 	dead    int
 	watched map[string]bool // whom this process is a watcher of
-	// Changed counts the changes, for hosts that keep a copy.
+	// Changed counts the changes.
 	Changed uint64
+	news    map[string]bool // of whom something has changed since [View.News]
 }
 
 type record struct {
@@ -76,7 +77,7 @@
 
 // NewView returns the view of a process that knows nobody.
 func NewView(self api.Peer) *View {
-	v := &View{self: self, peers: map[string]*record{}, watched: map[string]bool{}}
+	v := &View{self: self, peers: map[string]*record{}, watched: map[string]bool{}, news: map[string]bool{}}
 	v.self.Incarnation = max(1, v.self.Incarnation)
 	v.swap(nil, &v.self)
 	return v
@@ -86,6 +87,9 @@
 func (v *View) swap(old, next *api.Peer) {
 	v.Changed++
 	for _, p := range []*api.Peer{old, next} {
+		if p != nil {
+			v.news[p.Name] = true
+		}
 		if p != nil && p.State != Dead { // the dead are forgotten at different times
 			v.parts[part(p.Name)] ^= hash(*p)
 		}
@@ -130,6 +134,22 @@
 	return out
 }
 
+// News returns the processes of which something has changed since the last call, by
+// name, so that who keeps a copy pays for what changed and not for how many there are.
+// One that is forgotten is dead.
+func (v *View) News() (out []api.Peer) {
+	for name := range v.news {
+		p, ok := v.Peer(name)
+		if !ok {
+			p = api.Peer{Name: name, State: Dead}
+		}
+		out = append(out, p)
+	}
+	clear(v.news)
+	slices.SortFunc(out, func(a, b api.Peer) int { return cmp.Compare(a.Name, b.Name) })
+	return out
+}
+
 // Leave marks this process as leaving.
 func (v *View) Leave() {
 	v.say(func(p *api.Peer) { p.State, p.Incarnation = Leaving, p.Incarnation+1 })
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"testing"
@@ -225,3 +226,48 @@
 	done.Wait()
 	a.Meet(addr)
 }
+
+// A copy that is kept by the news alone is the view, whatever came, changed, died and
+// was forgotten meanwhile; and one change is one row, however many there are.
+func TestNewsKeepACopy(t *testing.T) {
+	rng := rand.New(rand.NewPCG(4, 4))
+	v, copied, now := NewView(api.Peer{Name: "self", Addr: "s", Life: 1}), map[string]api.Peer{}, time.Duration(1)
+	take := func() (n int) {
+		for _, p := range v.News() {
+			n++
+			if copied[p.Name] = p; p.State == Dead {
+				delete(copied, p.Name)
+			}
+		}
+		return n
+	}
+	for i := range 300 {
+		v.Merge(now, []api.Peer{{Name: fmt.Sprint("p", i), Addr: "a", Life: 1, Incarnation: 1}})
+	}
+	if n := take(); n != 301 {
+		t.Errorf("%d rows of 301 processes", n)
+	}
+	v.Merge(now, []api.Peer{{Name: "p7", Addr: "b", Life: 2, Incarnation: 2}})
+	if n := take(); n != 1 || copied["p7"].Addr != "b" {
+		t.Errorf("one that started again: %d rows, at %s", n, copied["p7"].Addr)
+	}
+	if n := take(); n != 0 {
+		t.Errorf("%d rows of no news", n)
+	}
+	for i := range 2000 {
+		now += time.Duration(rng.IntN(200)) * time.Millisecond
+		v.Merge(now, []api.Peer{{Name: fmt.Sprint("p", rng.IntN(400)), Addr: fmt.Sprint("a", i), Life: rng.Uint64(), Incarnation: uint64(rng.IntN(50)), State: uint8(rng.IntN(3))}})
+		if v.Check(now); rng.IntN(3) > 0 {
+			continue
+		}
+		take()
+		for _, p := range v.All() {
+			if had, is := copied[p.Name]; is != (p.State != Dead) || is && had != p {
+				t.Fatalf("after %d changes: the copy has %v, the view %v", i, had, p)
+			}
+		}
+		if alive := len(v.ring); alive != len(copied) {
+			t.Fatalf("after %d changes: %d in the copy, %d in the view", i, len(copied), alive)
+		}
+	}
+}
--- a/process/process.go
+++ b/process/process.go
@@ -8,11 +8,13 @@
 	"errors"
 	"fmt"
 	"log/slog"
+	"maps"
 	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
 	"path/filepath"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -78,6 +80,10 @@
 	newsAt    atomic.Int64 // when the core last answered, since start
 	start     time.Time
 
+	// Of who is there, as [membership.Service] tells; see [Process.peersChanged].
+	edges map[string]bool   // limiters, by name
+	cores map[string]string // addresses of machines of the core, by name
+
 	// Of the goroutine that watches:
 	whole      [2]bool // tables of which the whole is asked for
 	coreFailed bool    // the core in this process could not answer
@@ -92,7 +98,8 @@
 		return nil, err
 	}
 	seed, log, tune := rand.Uint64(), o.Log, o.Tune
-	p := &Process{Options: o, log: log, seed: seed, look: make(chan struct{}, 1), start: time.Now()}
+	p := &Process{Options: o, log: log, seed: seed, look: make(chan struct{}, 1), start: time.Now(),
+		edges: map[string]bool{}, cores: map[string]string{}}
 	if tune.TLS.Dir != "" {
 		if p.ring, err = keys.Open(tune.TLS.Dir); err != nil {
 			return nil, fmt.Errorf("tls.dir: %w", err)
@@ -270,21 +277,38 @@
 	return nil
 }
 
-func (p *Process) peersChanged(all []api.Peer) {
-	n := 0
-	var cores []string
-	for _, q := range all {
+// peersChanged takes in the processes of which something has changed.
+func (p *Process) peersChanged(changed []api.Peer) {
+	core := false
+	for _, q := range changed {
 		if q.Edge && q.State != membership.Dead {
-			n++
+			p.edges[q.Name] = true
+		} else {
+			delete(p.edges, q.Name)
 		}
+		was, is := p.cores[q.Name], ""
 		if q.Core && q.State == membership.Alive {
-			cores = append(cores, q.Addr)
+			is = q.Addr
+		}
+		if was == is {
+			continue
+		}
+		if core = true; is == "" {
+			delete(p.cores, q.Name)
+		} else {
+			p.cores[q.Name] = is
+		}
+	}
+	p.peers.Store(int64(max(1, len(p.edges))))
+	if core {
+		var addrs []string
+		for _, name := range slices.Sorted(maps.Keys(p.cores)) {
+			addrs = append(addrs, p.cores[name])
 		}
+		p.client.Spare(addrs)
 	}
-	p.peers.Store(int64(max(1, n)))
-	p.client.Spare(cores)
 	if p.gateway != nil {
-		p.gateway.SetPeers(all)
+		p.gateway.ChangePeers(changed)
 	}
 }
 
