--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -148,3 +148,49 @@
 		t.Error("it is held against them for ever")
 	}
 }
+
+// What rests is closed as soon as its time is up, and what the server has closed at the
+// sweeps that look; the others ask the system nothing. Neither is ever used.
+func TestSweepsLookNowAndThen(t *testing.T) {
+	t.Parallel()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { l.Close() })
+	p := New[int](4, patience, patience)
+	p.Update(1, l.Addr().String(), 0, true)
+	h := p.Host(1)
+	var cs [3]*Conn[int]
+	for i := range cs {
+		if cs[i], err = p.Connect(context.Background(), h); err != nil {
+			t.Fatal(err)
+		}
+		there, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if i == 1 { // the server closes it, and the close has arrived
+			there.Close()
+			cs[i].Conn.Read(make([]byte, 1))
+		} else {
+			t.Cleanup(func() { there.Close() })
+		}
+		cs[i].Expect(1)
+	}
+	for _, c := range cs {
+		p.Put(c)
+	}
+	now := time.Now()
+	cs[2].IdleAt = now.Add(-2 * patience)
+	if p.sweep(now, false); len(h.idle) != 2 || p.open != 2 {
+		t.Errorf("without a look: %d rest, %d are open", len(h.idle), p.open)
+	}
+	if p.sweep(now, true); len(h.idle) != 1 || h.idle[0] != cs[0] || p.open != 1 {
+		t.Errorf("with a look: %d rest, %d are open", len(h.idle), p.open)
+	}
+	p.Put(cs[1]) // as if no sweep had looked
+	if c := p.Take(h); c != cs[0] {
+		t.Error("a connection that the server had closed was used")
+	}
+}
--- a/process/discover.go
+++ b/process/discover.go
@@ -54,6 +54,19 @@
 	return d.since >= every
 }
 
+// rest is how long nothing can become due, so that there is no look meanwhile. A member
+// of the core may come to lead at any time. Another process asks once it has heard
+// nothing for long, and what it hears puts that off.
+func (d *duty) rest(member bool) time.Duration {
+	switch {
+	case member && !d.asked:
+		return lookEach / 8 // a new leader's first list is waited for
+	case member:
+		return lookEach
+	}
+	return max(lookEach, silentFor-d.silent)
+}
+
 // discover asks the platform for the servers: the leader for all, a limiter for
 // itself where the core has been silent for long.
 func (p *Process) discover(ctx context.Context) {
@@ -62,11 +75,7 @@
 	// Limiters that lost the core at the same moment do not ask at the same moment.
 	patience := backoff.Spread(silentFor, rng)
 	for ctx.Err() == nil {
-		pause := lookEach
-		if p.core != nil && !d.asked {
-			pause /= 8 // a new leader's first list is waited for
-		}
-		backoff.Sleep(ctx, pause)
+		backoff.Sleep(ctx, d.rest(p.core != nil))
 		now, cfg := time.Since(p.start), p.cfg.Load()
 		if leads := p.core != nil && p.core.Leads(); leads != d.leads {
 			d.leads, d.asked, d.doubt = leads, false, false
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -57,6 +57,37 @@
 	}
 }
 
+// Who is no member of the core doesn't look round until something can be due: while the
+// core speaks that is a few times a minute, and never later than it would ask.
+func TestNothingIsLookedAtBeforeItCanBeDue(t *testing.T) {
+	d := duty{configured: true, since: time.Hour, limiters: 300, pages: 16, perS: 3200}
+	looks, asked := 0, time.Duration(0)
+	for now := time.Duration(0); now < 2*time.Minute; now += d.rest(false) {
+		if now < time.Minute {
+			looks++
+		}
+		heard := min(now, time.Minute-1) // the core answers each 1.5 s for a minute
+		heard -= heard % (1500 * time.Millisecond)
+		if d.silent = now - heard; asked == 0 && d.due() {
+			asked = now
+		}
+	}
+	if looks > 10 {
+		t.Errorf("%d looks in a minute in which nothing was due", looks)
+	}
+	if last := time.Minute - 1500*time.Millisecond; asked < last+silentFor || asked > time.Minute+silentFor+lookEach {
+		t.Errorf("silent from %v on, asked at %v", last, asked)
+	}
+	for _, c := range []struct {
+		asked bool
+		want  time.Duration
+	}{{false, lookEach / 8}, {true, lookEach}} {
+		if d := (&duty{asked: c.asked}); d.rest(true) != c.want {
+			t.Errorf("a member that has asked (%v) looks after %v", c.asked, d.rest(true))
+		}
+	}
+}
+
 // machine is one machine on loopback: a core of its own, with a platform and a server.
 type machine struct {
 	t                     *testing.T
