An answer of a known length is read into memory of that length

Cause: answers that are held whole were read by io.ReadAll, which grows its memory step by step: for one of 5,000 bytes, the usual one of a large deployment's look-ups, it takes some 16 KB, and a collector that runs after each half megabyte runs the more often.

Change: h1.Body.ReadUpTo. TestReadUpTo has each framing, cut and whole, and counts the allocations.

--- a/dataplane/forward.go
+++ b/dataplane/forward.go
@@ -171,7 +171,7 @@
 		return g.outcome(e, nil)
 	}
 	if !good || framing >= 0 && framing <= holdAnswer {
-		a.body, err = io.ReadAll(io.LimitReader(body, holdAnswer))
+		a.body, err = body.ReadUpTo(holdAnswer)
 		switch {
 		case err != nil:
 			return g.outcome(e, nil)
--- a/dataplane/h1/body.go
+++ b/dataplane/h1/body.go
@@ -47,6 +47,17 @@
 	return h, body, err
 }
 
+// ReadUpTo reads the body, or its first bytes where it is longer. One whose length is
+// known is read into memory of that length.
+func (b *Body) ReadUpTo(most int64) ([]byte, error) {
+	if b.kind < 0 || b.left > most {
+		return io.ReadAll(io.LimitReader(b, most))
+	}
+	body := make([]byte, b.left)
+	n, err := io.ReadFull(b, body)
+	return body[:n], err
+}
+
 // Done tells that the whole body was read.
 func (b *Body) Done() bool { return b.done }
 
--- a/dataplane/h1/h1_test.go
+++ b/dataplane/h1/h1_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -171,3 +172,47 @@
 		}
 	}
 }
+
+// A body is had up to a bound, whole or not, however it is framed; one of a known length
+// costs its own bytes and no more.
+func TestReadUpTo(t *testing.T) {
+	text := strings.Repeat("0123456789", 500)
+	chunked := fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(text), text)
+	for name, c := range map[string]struct {
+		in      string
+		framing int64
+		most    int64
+		want    int // bytes
+		short   bool
+		done    bool
+	}{
+		"whole":          {text, 5000, 8000, 5000, false, true},
+		"just whole":     {text, 5000, 5000, 5000, false, true},
+		"longer":         {text, 5000, 4999, 4999, false, false},
+		"none":           {text, 0, 100, 0, false, true},
+		"cut":            {text[:4000], 5000, 8000, 4000, true, false},
+		"nothing came":   {"", 5000, 8000, 0, true, false},
+		"chunks":         {chunked, Chunks, 8000, 5000, false, true},
+		"chunks, longer": {chunked, Chunks, 100, 100, false, false},
+		"chunks, cut":    {chunked[:1000], Chunks, 8000, 994, true, false},
+		"till the end":   {text, TillEnds, 8000, 5000, false, true},
+	} {
+		b := NewBody(bufio.NewReader(strings.NewReader(c.in)), c.framing)
+		got, err := b.ReadUpTo(c.most)
+		if string(got) != text[:c.want] || errors.Is(err, ErrShort) != c.short || err != nil && !c.short || b.Done() != c.done {
+			t.Errorf("%s: %d bytes, %v, done %v", name, len(got), err, b.Done())
+		}
+	}
+	src := strings.NewReader(text)
+	in := bufio.NewReader(src)
+	if n := testing.AllocsPerRun(100, func() {
+		src.Reset(text)
+		in.Reset(src)
+		b := Body{r: in, kind: 5000, left: 5000}
+		if got, err := b.ReadUpTo(8000); len(got) != 5000 || err != nil {
+			t.Error(len(got), err)
+		}
+	}); n > 2 { // the body, and the reader of it
+		t.Errorf("%v allocations", n)
+	}
+}
