--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -168,6 +168,7 @@
 	locked("elmspan_client_connections", func() int { return len(g.conns) })
 	locked("elmspan_peers", func() int { return g.limiter.Others() })
 	locked("elmspan_peers_told", func() int { return g.limiter.Targets() })
+	locked("elmspan_regroups_total", func() int { return g.regroups })
 	locked("elmspan_servers", func() int { return len(g.limiter.Members()) })
 }
 
