--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -9,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -21,6 +23,7 @@
 	"example.org/elmspan/dataplane/link"
 	"example.org/elmspan/dataplane/quota"
 	"example.org/elmspan/internal/connpool"
+	"example.org/elmspan/internal/datagram"
 	"example.org/elmspan/keys"
 	"example.org/elmspan/membership"
 	"example.org/elmspan/settings"
@@ -77,13 +80,14 @@
 	mu       sync.Mutex // over the following
 	rng      *rand.Rand
 	limiter  *limiter.Limiter
-	addrs    map[uint64]netip.AddrPort // of other limiters
+	others   map[uint64]other // limiters, by the hashes of their names
+	regroups int              // how often the limiter was told who there is
 	conns    map[*clientConn]struct{}
 	servers  servers
 	waiting  map[*limiter.Flight]chan struct{} // for places on the link
 	berthing bool                              // a look at them is due
 
-	udp     *net.UDPConn
+	udp     *datagram.Socket // of the goroutine that gossips, once it runs
 	front   net.Listener
 	ready   *http.Server
 	readyOn net.Listener
@@ -96,7 +100,7 @@
 	seed, log := o.Seed, o.Log
 	g := &Gateway{cfg: cfg, log: log, meter: o.Metrics, ring: o.Keys, stranger: o.Stranger, start: time.Now(), life: rand.Uint64(), self: xxhash.Sum64String(cfg.Name),
 		rules: attempt.Standard(),
-		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), addrs: map[uint64]netip.AddrPort{},
+		rng:   rand.New(rand.NewPCG(seed, 0xfa7e)), others: map[uint64]other{},
 		conns: map[*clientConn]struct{}{}, waiting: map[*limiter.Flight]chan struct{}{}, open: listenersClose, linger: lingerFor, writeFor: writeFor}
 	fds := cfg.Limits.MaxFDs
 	if fds == 0 {
@@ -121,7 +125,7 @@
 	}
 	at, err := netip.ParseAddrPort(cfg.InternalAddr())
 	if err == nil {
-		g.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(at))
+		g.udp, err = datagram.Listen(at)
 	}
 	if err != nil {
 		return nil, errors.Join(fmt.Errorf("internal_port_range: %w", err), g.front.Close(), g.readyOn.Close())
@@ -164,6 +168,7 @@
 	locked("elmspan_client_connections", func() int { return len(g.conns) })
 	locked("elmspan_peers", func() int { return g.limiter.Others() })
 	locked("elmspan_peers_told", func() int { return g.limiter.Targets() })
+	locked("elmspan_regroups_total", func() int { return g.regroups })
 	locked("elmspan_servers", func() int { return len(g.limiter.Members()) })
 }
 
@@ -193,15 +198,14 @@
 	work, stop := context.WithCancel(context.Background())
 	g.tasks.Go(func() { g.pool.Sweep(work) })
 	g.tasks.Go(func() { g.gossip(work) })
-	g.tasks.Go(func() { g.hear(work) })
 	g.tasks.Go(func() { g.ready.Serve(g.readyOn) })
 	g.tasks.Go(g.accept)
 	<-ctx.Done()
 	g.drain()
 	stop()
 	g.ready.Close()
-	g.udp.Close()
 	g.tasks.Wait()
+	g.udp.Close()
 }
 
 // drain leaves in order: not ready at once, but taking what still comes until
@@ -240,28 +244,45 @@
 	}
 }
 
-// SetPeers takes over which processes there are.
-func (g *Gateway) SetPeers(all []api.Peer) {
+// other is another limiter, as words reach it.
+type other struct {
+	addr netip.AddrPort
+	zone string
+}
+
+// ChangePeers takes in the processes of which something has changed. One that only
+// started again, at the same address or another, is the same limiter: the groups of
+// limiters and whose servers are whose stay as they are.
+func (g *Gateway) ChangePeers(changed []api.Peer) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	var peers []quota.Member
-	clear(g.addrs)
-	for _, p := range all {
-		if p.Name == g.cfg.Name || !p.Edge || p.State == membership.Dead {
+	regroup := false
+	for _, p := range changed {
+		if p.Name == g.cfg.Name {
 			continue
 		}
+		g.met.Store(true)
+		id := xxhash.Sum64String(p.Name)
+		was, had := g.others[id]
 		addr, err := netip.ParseAddrPort(p.Addr)
-		if err != nil {
+		if !p.Edge || p.State == membership.Dead || err != nil {
+			delete(g.others, id)
+			regroup = regroup || had
 			continue
 		}
-		id := xxhash.Sum64String(p.Name)
-		g.addrs[id] = addr
-		peers = append(peers, quota.Member{ID: id, Zone: p.Zone})
+		g.others[id] = other{addr, p.Zone}
+		regroup = regroup || !had || was.zone != p.Zone
 	}
-	g.limiter.Peers(inMs(g.now()), peers)
-	if len(all) > 1 {
-		g.met.Store(true)
+	if !regroup {
+		return
 	}
+	peers := make([]quota.Member, 0, len(g.others))
+	for id, o := range g.others {
+		peers = append(peers, quota.Member{ID: id, Zone: o.zone})
+	}
+	slices.SortFunc(peers, func(a, b quota.Member) int { return cmp.Compare(a.ID, b.ID) })
+	g.limiter.Peers(inMs(g.now()), peers)
+	g.regroups++
 }
 
 // Settings takes over what a changed settings file may change while it runs.
