--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -75,7 +75,7 @@
 	life   uint64
 	metAt  float64
 	at     float64
-	latest map[uint64]uint64 // sums since its start
+	latest column            // sums since its start
 	ahead  map[uint64]uint64 // units told since the last word that counted
 	more   float64           // since when it hears more of its group than the one whose word counts; 0: it does not
 }
@@ -165,28 +165,27 @@
 	}
 	r := g.reporters[from]
 	if r == nil || r.life != life {
-		r = &reporter{life: life, metAt: now, at: now, latest: map[uint64]uint64{}, ahead: map[uint64]uint64{}}
+		r = &reporter{life: life, metAt: now, at: now, ahead: map[uint64]uint64{}}
 		g.reporters[from] = r
 	}
 	if now-r.at > s.fresh() {
 		// What a reporter let be known to others while it did not report here was paid
 		// for by another one's word, or spent of its group's own part.
-		clear(r.latest)
+		r.latest.clear()
 		clear(r.ahead)
 	}
 	r.at = now
 	for _, e := range d.Spent {
-		if s.tenants[e.Tenant] == nil {
+		t := s.tenants[e.Tenant]
+		if t == nil {
 			continue
 		}
-		before, known := r.latest[e.Tenant]
-		if !known { // likewise: sums count from the first that is heard here
-			if before = e.Units; past(now, ageMs, r.metAt) {
-				s.seed(now, s.tenants[e.Tenant], e.Level)
-			}
-		}
-		if r.latest[e.Tenant] = max(before, e.Units); e.Units > before {
-			r.ahead[e.Tenant] += e.Units - before
+		units, known := r.latest.raise(t.row, e.Units)
+		switch {
+		case known && units > 0:
+			r.ahead[e.Tenant] += units
+		case !known && past(now, ageMs, r.metAt): // likewise: sums count from the first that is heard here
+			s.seed(now, t, e.Level)
 		}
 	}
 	fresh := s.goesBy(now, g)
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -47,6 +47,7 @@
 	self    Member
 	startMs float64
 	tenants map[uint64]*tenant
+	rows    rows
 	// Tenants of whose units something may be to be told, by this limiter and by its
 	// group: a look at what is due costs those who ask, not all tenants there are.
 	news, groupNews map[uint64]*tenant
@@ -59,6 +60,7 @@
 
 type tenant struct {
 	plan    Plan
+	row     int32 // in the columns of those who tell of it
 	balance float64
 	at      float64
 	spent   uint64 // admitted here since the start
@@ -78,7 +80,7 @@
 	set     uint32  // whom it hears
 	sameAt  float64 // when that was whom this limiter hears
 	goneAt  float64 // not a member since; 0: it is one
-	spent   map[uint64]uint64
+	spent   column  // what it has told of each tenant
 }
 
 // New returns a set of a limiter that starts now, by the hash of its name.
@@ -102,6 +104,9 @@
 // nobody a fresh burst.
 func (s *Set) ChangePlans(now float64, put map[uint64]Plan, gone []uint64) {
 	for _, id := range gone {
+		if t := s.tenants[id]; t != nil {
+			s.forget(t.row)
+		}
 		delete(s.tenants, id)
 		delete(s.news, id)
 		delete(s.groupNews, id)
@@ -110,7 +115,7 @@
 		t := s.tenants[id]
 		if t == nil {
 			n := float64(len(s.peers) + 1)
-			s.tenants[id] = &tenant{plan: p, at: now, balance: min(p.Burst, p.Burst/n+p.Rate*(now-s.startMs)/1000)}
+			s.tenants[id] = &tenant{plan: p, row: s.rows.take(), at: now, balance: min(p.Burst, p.Burst/n+p.Rate*(now-s.startMs)/1000)}
 			continue
 		}
 		s.refill(now, t)
@@ -128,7 +133,7 @@
 		is[m.ID] = true
 		p := s.peers[m.ID]
 		if p == nil {
-			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1), sameAt: math.Inf(-1)}
+			p = &peer{heardAt: math.Inf(-1), sameAt: math.Inf(-1)}
 			s.peers[m.ID] = p
 		}
 		p.Member, p.goneAt = m, 0
@@ -279,7 +284,7 @@
 	}
 	if p.life != life {
 		p.life, p.metAt, p.sameAt = life, now, now
-		clear(p.spent)
+		p.spent.clear()
 	}
 	if now-p.heardAt > s.fresh() || p.set != set {
 		s.shares.validTo = 0
@@ -291,17 +296,16 @@
 		if t == nil {
 			continue
 		}
-		before, known := p.spent[e.Tenant]
+		units, known := p.spent.raise(t.row, e.Units)
 		if !known && past(now, ageMs, p.metAt) {
-			before = e.Units
+			units = 0
 			s.seed(now, t, e.Level)
 		}
-		p.spent[e.Tenant] = max(before, e.Units)
-		if e.Units > before {
-			t.grouped += e.Units - before
+		if units > 0 {
+			t.grouped += units
 			s.groupNews[e.Tenant] = t
 			if s.shares.with(now, p) {
-				s.draw(now, t, e.Units-before)
+				s.draw(now, t, units)
 			}
 		}
 	}
