--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -35,6 +35,22 @@
 	shareMs   = 10.0   // for so long the part of the quotas is not counted anew
 )
 
+// In a vast fleet nearly every unit of a small tenant is the only one that a limiter
+// lets through in a second: told at once, each of them is a word. What of a tenant may
+// stay untold by all of them together for a moment is what the rule leaves beyond the
+// plan: a tenth, and slackUnits whatever the plan. Asked for at surge times its rate, a
+// tenant comes to slackUnits in slackUnits / (surge x rate) seconds. So much longer its
+// news may wait than that of a large one, half of it at each of the two who pass it on,
+// a limiter and its group's reporter (docs/decisions/0015).
+const (
+	// Vast is the size of a fleet beyond which news waits by need.
+	Vast       = 96
+	slackUnits = 20.0  // quota_slack of the rules
+	surge      = 10.0  // times its rate that a tenant is asked for at the worst
+	mostWaitMs = 240.0 // that news waits longer for it at each of the two ...
+	waitStepMs = 20.0  // ... in ticks of a large fleet: half of one more is half of one too late
+)
+
 // TenantID names a tenant in words: 40 bits of its name's hash.
 func TenantID(name string) uint64 { return xxhash.Sum64String(name) >> 24 }
 
@@ -47,6 +63,7 @@
 	self    Member
 	startMs float64
 	tenants map[uint64]*tenant
+	rows    rows
 	// Tenants of whose units something may be to be told, by this limiter and by its
 	// group: a look at what is due costs those who ask, not all tenants there are.
 	news, groupNews map[uint64]*tenant
@@ -59,6 +76,7 @@
 
 type tenant struct {
 	plan    Plan
+	row     int32 // in the columns of those who tell of it
 	balance float64
 	at      float64
 	spent   uint64 // admitted here since the start
@@ -78,7 +96,7 @@
 	set     uint32  // whom it hears
 	sameAt  float64 // when that was whom this limiter hears
 	goneAt  float64 // not a member since; 0: it is one
-	spent   map[uint64]uint64
+	spent   column  // what it has told of each tenant
 }
 
 // New returns a set of a limiter that starts now, by the hash of its name.
@@ -102,6 +120,9 @@
 // nobody a fresh burst.
 func (s *Set) ChangePlans(now float64, put map[uint64]Plan, gone []uint64) {
 	for _, id := range gone {
+		if t := s.tenants[id]; t != nil {
+			s.forget(t.row)
+		}
 		delete(s.tenants, id)
 		delete(s.news, id)
 		delete(s.groupNews, id)
@@ -110,7 +131,7 @@
 		t := s.tenants[id]
 		if t == nil {
 			n := float64(len(s.peers) + 1)
-			s.tenants[id] = &tenant{plan: p, at: now, balance: min(p.Burst, p.Burst/n+p.Rate*(now-s.startMs)/1000)}
+			s.tenants[id] = &tenant{plan: p, row: s.rows.take(), at: now, balance: min(p.Burst, p.Burst/n+p.Rate*(now-s.startMs)/1000)}
 			continue
 		}
 		s.refill(now, t)
@@ -128,7 +149,7 @@
 		is[m.ID] = true
 		p := s.peers[m.ID]
 		if p == nil {
-			p = &peer{spent: map[uint64]uint64{}, heardAt: math.Inf(-1), sameAt: math.Inf(-1)}
+			p = &peer{heardAt: math.Inf(-1), sameAt: math.Inf(-1)}
 			s.peers[m.ID] = p
 		}
 		p.Member, p.goneAt = m, 0
@@ -188,7 +209,9 @@
 	Tenant uint64
 	Units  uint64
 	Level  uint8 // of the bucket: 255ths of the burst
-	Low    bool  // little is left: others should know soon. Not told.
+	// Within is in how many milliseconds others should know, as little is left; 0: there is
+	// time. Not told.
+	Within float64
 }
 
 // Report lists the tenants that are to be told of now: those with news, oftener
@@ -198,8 +221,8 @@
 		if !t.own.due(t.spent) {
 			delete(s.news, id)
 		} else if t.plan.Rate > 0 {
-			if pause := s.pause(now, t, t.spent-t.own.units, seldomMs); now-t.own.at >= pause {
-				out = append(out, Spent{id, t.own.tell(now, t.spent), t.level(), pause == oftenMs})
+			if pause, low := s.pause(now, t, t.spent-t.own.units, seldomMs); now-t.own.at >= pause {
+				out = append(out, Spent{id, t.own.tell(now, t.spent), t.level(), s.within(pause, low)})
 			}
 		}
 	}
@@ -245,14 +268,33 @@
 }
 
 // pause is how seldom a tenant is told of, where so many units are not told yet;
-// much is for one that has much left.
-func (s *Set) pause(now float64, t *tenant, units uint64, much float64) float64 {
-	if s.refill(now, t); t.balance < lowShare*t.plan.Burst || float64(units) > fastShare*t.plan.Burst {
-		return oftenMs
+// much is for one that has much left, low tells that it has not.
+func (s *Set) pause(now float64, t *tenant, units uint64, much float64) (ms float64, low bool) {
+	s.refill(now, t)
+	fast := fastShare * t.plan.Burst
+	if s.vast() {
+		fast = max(1, fast) // one unit alone isn't in a hurry
+	}
+	if t.balance >= lowShare*t.plan.Burst && float64(units) <= fast {
+		return much, false
 	}
-	return much
+	if s.vast() {
+		return oftenMs + waitStepMs*math.Floor(min(mostWaitMs, 1000*slackUnits/(2*surge*t.plan.Rate))/waitStepMs), true
+	}
+	return oftenMs, true
+}
+
+// within is how soon others should know of news that is told so seldom.
+func (s *Set) within(pause float64, low bool) float64 {
+	if !low {
+		return 0
+	}
+	return pause
 }
 
+// vast tells whether there are so many limiters that news waits by need.
+func (s *Set) vast() bool { return len(s.peers) >= Vast }
+
 // told is what was told of a figure that only grows.
 type told struct {
 	units uint64
@@ -279,7 +321,7 @@
 	}
 	if p.life != life {
 		p.life, p.metAt, p.sameAt = life, now, now
-		clear(p.spent)
+		p.spent.clear()
 	}
 	if now-p.heardAt > s.fresh() || p.set != set {
 		s.shares.validTo = 0
@@ -291,17 +333,16 @@
 		if t == nil {
 			continue
 		}
-		before, known := p.spent[e.Tenant]
+		units, known := p.spent.raise(t.row, e.Units)
 		if !known && past(now, ageMs, p.metAt) {
-			before = e.Units
+			units = 0
 			s.seed(now, t, e.Level)
 		}
-		p.spent[e.Tenant] = max(before, e.Units)
-		if e.Units > before {
-			t.grouped += e.Units - before
+		if units > 0 {
+			t.grouped += units
 			s.groupNews[e.Tenant] = t
 			if s.shares.with(now, p) {
-				s.draw(now, t, e.Units-before)
+				s.draw(now, t, units)
 			}
 		}
 	}
