Limiters of vast fleets tell three times within what counts as silence; one seam to the store

Ruled out: fewer words with a longer freshness, which the rule's window does not allow. Tests that put a store of their own under a member do it by its configuration alone; the check is the same.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -71,7 +71,6 @@
 	carrying bool
 	writing  bool
 	writes   int
-	save     func(agreement.Ready) error
 	withheld []agreement.Message // until what they promise is on disk
 	// diskDown: nothing is promised or answered, as the disk takes no writes or, where
 	// halted says why, as this member can't carry on what the others agreed on.
@@ -129,7 +128,6 @@
 		return nil, fmt.Errorf("%w: snapshot: %v", logstore.ErrCorrupt, err)
 	}
 	c.takeOver(d)
-	c.save = cfg.Store.Save
 	c.node = agreement.New(agreement.Config{ID: id, ElectionTicks: electionTicks, HeartbeatTicks: heartbeatTicks, Seed: cfg.Seed, Check: c.check}, st)
 	cfg.Log.Info("core member", "id", fmt.Sprintf("%x", uint64(id)), "entries", len(st.Entries), "term", st.Hard.Term,
 		"revision", c.state.Revision, "members", len(st.Snapshot.Members))
@@ -387,7 +385,7 @@
 	due := c.withheld // with this batch on disk all of them hold
 	c.withheld = nil
 	if r.MustSync() {
-		if err := c.write(func() error { return c.save(r) }); err != nil {
+		if err := c.write(func() error { return c.cfg.Store.Save(r) }); err != nil {
 			if c.amnesia(err) {
 				return false
 			}
--- a/controlplane/disk_test.go
+++ b/controlplane/disk_test.go
@@ -14,9 +14,28 @@
 // kept in its lanes.
 type slowDisk struct {
 	*Core
+	Store
 	t       *testing.T
 	entered chan struct{}
 	result  chan error
+	over    chan struct{}
+}
+
+// Save waits for the test.
+func (d *slowDisk) Save(r agreement.Ready) error {
+	select {
+	case d.entered <- struct{}{}:
+	case <-d.over:
+		return errors.New("the test is over")
+	}
+	select {
+	case err := <-d.result:
+		if err != nil {
+			return err
+		}
+	case <-d.over:
+	}
+	return d.Store.Save(r)
 }
 
 func newSlowDisk(t *testing.T) *slowDisk {
@@ -24,23 +43,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := &slowDisk{c, t, make(chan struct{}), make(chan error)}
-	over := make(chan struct{})
-	c.save = func(r agreement.Ready) error {
-		select {
-		case d.entered <- struct{}{}:
-		case <-over:
-			return errors.New("the test is over")
-		}
-		select {
-		case err := <-d.result:
-			if err != nil {
-				return err
-			}
-		case <-over:
-		}
-		return store.Save(r)
-	}
+	d := &slowDisk{c, store, t, make(chan struct{}), make(chan error), make(chan struct{})}
+	c.cfg.Store = d
 	c.ctx = t.Context()
 	for _, to := range []agreement.ID{2, 3} {
 		for _, bulk := range []bool{false, true} {
@@ -48,7 +52,7 @@
 		}
 	}
 	t.Cleanup(func() {
-		close(over)
+		close(d.over)
 		c.tasks.Wait()
 	})
 	return d
--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -30,9 +30,8 @@
 	mostAhead   = 200.0 // of the budget may be saved up
 
 	// In a vast one ([quota.Vast]) a word's head would be most of what is sent. There,
-	// news goes with the words that tell that a limiter is alive, of which one may be
+	// news goes with the words that tell that a limiter is alive, of which two may be
 	// lost, unless a quota needs it sooner ([quota.Spent.Within]).
-	vastAliveMs  = 320.0 // twice within quota.FreshManyMs
 	vastShareMs  = 150.0
 	vastDemandMs = 500.0 // servers are dealt out anew so often
 
@@ -267,7 +266,7 @@
 	case t.vast && x.within > 0:
 		return x.within
 	case t.vast:
-		return vastAliveMs
+		return manyAliveMs
 	case t.many && x.hinted && len(x.hints) > 0:
 		return shareMs
 	case t.many && (x.failed || x.within > 0):
@@ -283,10 +282,7 @@
 }
 
 func (t *Teller) aliveMs() float64 {
-	switch {
-	case t.vast:
-		return vastAliveMs
-	case t.many:
+	if t.many {
 		return manyAliveMs
 	}
 	return aliveMs
