--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -41,7 +41,7 @@
 // plan: a tenth, and slackUnits whatever the plan. Asked for at surge times its rate, a
 // tenant comes to slackUnits in slackUnits / (surge x rate) seconds. So much longer its
 // news may wait than that of a large one, half of it at each of the two who pass it on,
-// a limiter and its group's reporter (docs/decisions/0015).
+// a limiter and its group's reporter (docs/decisions/0017).
 const (
 	// Vast is the size of a fleet beyond which news waits by need.
 	Vast       = 96
