--- a/changes/changes_test.go
+++ b/changes/changes_test.go
@@ -34,6 +34,7 @@
 // However many differences are lost, come late or twice, who takes in what it
 // can ends with the whole: a holder that misses some asks with the version it has.
 func TestDifferencesEqualTheWhole(t *testing.T) {
+	t.Parallel()
 	rapid.Check(t, func(t *rapid.T) {
 		rng := rand.New(rand.NewPCG(rapid.Uint64().Draw(t, "seed"), 1))
 		var table Table
@@ -117,6 +118,7 @@
 // One row's change is told in a few bytes, whatever the table's size, and
 // encoded once for all that have the same version.
 func TestAChangeCostsWhatChanged(t *testing.T) {
+	t.Parallel()
 	for _, n := range []int{100, 10_000} {
 		rows := map[string][]byte{}
 		for i := range n {
@@ -146,10 +148,16 @@
 // Versions without end leave a bounded memory, and who is still fetching the
 // one before gets it.
 func TestTablesAreBounded(t *testing.T) {
+	t.Parallel()
 	var table Table
+	var byKeys, bySteps bool
 	for v := range uint64(150) {
+		n := 300 // so that keys are what bounds it, and later, with few, versions are
+		if v >= 50 {
+			n = 20
+		}
 		rows := map[string][]byte{}
-		for i := range 300 {
+		for i := range n {
 			rows[fmt.Sprint(i)] = value(t, fmt.Sprint(v, i))
 		}
 		table.Replace(v+1, rows)
@@ -158,10 +166,14 @@
 				t.Fatal(err)
 			}
 		}
+		byKeys, bySteps = byKeys || table.changed > mostChanged-n, bySteps || len(table.steps) == mostSteps
+		if len(table.steps) > mostSteps || table.changed > mostChanged || len(table.blobs) > mostBlobs || len(table.retired) > keptBlobs ||
+			table.Held() > 2*MostHeld {
+			t.Fatalf("%d steps, %d changed, %d and %d blobs, %d bytes", len(table.steps), table.changed, len(table.blobs), len(table.retired), table.Held())
+		}
 	}
-	if len(table.steps) > mostSteps || table.changed > mostChanged || len(table.blobs) > mostBlobs || len(table.retired) > keptBlobs ||
-		table.Held() > 2*MostHeld {
-		t.Errorf("%d steps, %d changed, %d and %d blobs, %d bytes", len(table.steps), table.changed, len(table.blobs), len(table.retired), table.Held())
+	if !byKeys || !bySteps {
+		t.Errorf("no bound was met: by keys %v, by versions %v", byKeys, bySteps)
 	}
 	b, err := table.Since(149)
 	if err != nil {
--- a/dataplane/limiter/cuts_test.go
+++ b/dataplane/limiter/cuts_test.go
@@ -108,25 +108,28 @@
 	const noticedMs = quota.FreshManyMs + 800 // silence, grace, and word of it
 	for _, c := range []struct{ n, patterns int }{{24, 8}, {92, 8}, {300, 1}} {
 		for seed := range c.patterns {
-			rng := rand.New(rand.NewPCG(uint64(seed), uint64(c.n)))
-			p := quota.Plan{Rate: 200, Burst: 100}
-			f := newFleet(c.n, p)
-			all := f.ids
-			f.ask(0, 2000, 150, all)
-			name, pattern, asked := cutAtRandom(rng, all)
-			if len(asked) < 2 || rng.IntN(2) == 0 {
-				asked = all
-			}
-			f.lost = func(a, b uint64) bool { return pattern[[2]uint64{a, b}] }
-			const perS = 500
-			at := f.ask(2000, 9000, perS, asked)
-			if n, limit := most(at, 5000), bound(p)+noticedMs/1000*(perS-200); n > limit {
-				t.Errorf("%d limiters, seed %d, %s: %d in 5 s, %d at most", c.n, seed, name, n, limit)
-			}
-			at = slices.DeleteFunc(at, func(ms float64) bool { return ms < 2000+noticedMs+500 })
-			if n, limit := most(at, 5000), int(1.03*(5*p.Rate+p.Burst)); n > limit {
-				t.Errorf("%d limiters, seed %d, %s: %d in 5 s once it is noticed, %d at most", c.n, seed, name, n, limit)
-			}
+			t.Run(fmt.Sprintf("%d limiters, seed %d", c.n, seed), func(t *testing.T) {
+				t.Parallel()
+				rng := rand.New(rand.NewPCG(uint64(seed), uint64(c.n)))
+				p := quota.Plan{Rate: 200, Burst: 100}
+				f := newFleet(c.n, p)
+				all := f.ids
+				f.ask(0, 2000, 150, all)
+				name, pattern, asked := cutAtRandom(rng, all)
+				if len(asked) < 2 || rng.IntN(2) == 0 {
+					asked = all
+				}
+				f.lost = func(a, b uint64) bool { return pattern[[2]uint64{a, b}] }
+				const perS = 500
+				at := f.ask(2000, 9000, perS, asked)
+				if n, limit := most(at, 5000), bound(p)+noticedMs/1000*(perS-200); n > limit {
+					t.Errorf("%d limiters, seed %d, %s: %d in 5 s, %d at most", c.n, seed, name, n, limit)
+				}
+				at = slices.DeleteFunc(at, func(ms float64) bool { return ms < 2000+noticedMs+500 })
+				if n, limit := most(at, 5000), int(1.03*(5*p.Rate+p.Burst)); n > limit {
+					t.Errorf("%d limiters, seed %d, %s: %d in 5 s once it is noticed, %d at most", c.n, seed, name, n, limit)
+				}
+			})
 		}
 	}
 }
@@ -136,34 +139,37 @@
 func TestCalmFleetsUseTheQuota(t *testing.T) {
 	t.Parallel()
 	for _, n := range []int{24, 92, 300} {
-		p := quota.Plan{Rate: 400, Burst: 100}
-		f := newFleet(n, p)
-		f.ask(0, 3000, 600, f.ids)
-		calm := f.ask(3000, 8000, 600, f.ids)
-		if got := len(calm); float64(got) < 0.97*5*p.Rate || float64(got) > 1.02*5*p.Rate {
-			t.Errorf("%d limiters: %d of %.0f in 5 s", n, got, 5*p.Rate)
-		}
-		if n > 92 {
-			continue
-		}
-		var rolled []float64
-		now := 8000.0
-		for k := range 10 {
-			id := f.ids[k*n/10]
-			f.dead[id] = true
-			rolled = append(rolled, f.ask(now, now+400, 600, f.ids)...)
-			f.dead[id] = false
-			f.at[id] = New(now+400, Config{Self: id, Life: id + uint64(now), Zone: zone(id), Seed: id})
-			f.know(now + 400)
-			f.at[id].Plans(now+400, map[uint64]quota.Plan{tenantID: p})
-			rolled = append(rolled, f.ask(now+400, now+700, 600, f.ids)...)
-			now += 700
-		}
-		if got, want := len(rolled), 7*p.Rate; float64(got) < 0.85*want || float64(got) > 1.05*want {
-			t.Errorf("%d limiters: %d of %.0f while one after the other is restarted", n, got, want)
-		}
-		if got := most(rolled, 5000); got > bound(p) {
-			t.Errorf("%d limiters: %d in 5 s while one after the other is restarted, %d at most", n, got, bound(p))
-		}
+		t.Run(fmt.Sprint(n, " limiters"), func(t *testing.T) {
+			t.Parallel()
+			p := quota.Plan{Rate: 400, Burst: 100}
+			f := newFleet(n, p)
+			f.ask(0, 3000, 600, f.ids)
+			calm := f.ask(3000, 8000, 600, f.ids)
+			if got := len(calm); float64(got) < 0.97*5*p.Rate || float64(got) > 1.02*5*p.Rate {
+				t.Errorf("%d limiters: %d of %.0f in 5 s", n, got, 5*p.Rate)
+			}
+			if n > 92 {
+				return
+			}
+			var rolled []float64
+			now := 8000.0
+			for k := range 10 {
+				id := f.ids[k*n/10]
+				f.dead[id] = true
+				rolled = append(rolled, f.ask(now, now+400, 600, f.ids)...)
+				f.dead[id] = false
+				f.at[id] = New(now+400, Config{Self: id, Life: id + uint64(now), Zone: zone(id), Seed: id})
+				f.know(now + 400)
+				f.at[id].Plans(now+400, map[uint64]quota.Plan{tenantID: p})
+				rolled = append(rolled, f.ask(now+400, now+700, 600, f.ids)...)
+				now += 700
+			}
+			if got, want := len(rolled), 7*p.Rate; float64(got) < 0.85*want || float64(got) > 1.05*want {
+				t.Errorf("%d limiters: %d of %.0f while one after the other is restarted", n, got, want)
+			}
+			if got := most(rolled, 5000); got > bound(p) {
+				t.Errorf("%d limiters: %d in 5 s while one after the other is restarted, %d at most", n, got, bound(p))
+			}
+		})
 	}
 }
--- a/simulation/simulation_test.go
+++ b/simulation/simulation_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"context"
 	"errors"
+	"sync"
 	"testing"
 
 	"example.org/elmspan/scenario"
@@ -27,16 +28,33 @@
 	return r
 }
 
+// plays plays a day with several policies side by side.
+func plays(t *testing.T, d *scenario.Day, policies ...string) []*Result {
+	t.Helper()
+	out := make([]*Result, len(policies))
+	errs := make([]error, len(policies))
+	var all sync.WaitGroup
+	for i, p := range policies {
+		all.Go(func() { out[i], errs[i] = Run(context.Background(), clone(d), Options{Policy: p}) })
+	}
+	all.Wait()
+	if err := errors.Join(errs...); err != nil {
+		t.Fatal(err)
+	}
+	return out
+}
+
 // A day with troubles breaks no rule, and equal seeds give equal days.
 func TestDay(t *testing.T) {
 	t.Parallel()
-	r := play(t, day(t), "")
+	rs := plays(t, day(t), "", "")
+	r := rs[0]
 	var one, two bytes.Buffer
 	r.Write(&one)
 	if !r.Sound() || r.Served() < 0.97 {
 		t.Errorf("served %v\n%s", r.Served(), one.String())
 	}
-	if play(t, day(t), "").Write(&two); one.String() != two.String() {
+	if rs[1].Write(&two); one.String() != two.String() {
 		t.Errorf("the same day twice:\n%s\n%s", one.String(), two.String())
 	}
 }
@@ -52,9 +70,11 @@
 	if err := errors.Join(Vary(d, "machines_per_zone", 25), Vary(d, "load", 2.5)); err != nil {
 		t.Fatal(err)
 	}
-	own := play(t, d, "")
-	for _, p := range []string{"random", "two-choices", "least-outstanding"} {
-		if other := play(t, d, p); own.Quantile(95) > other.Quantile(95) || own.InAim() < 0.97 {
+	policies := []string{"", "random", "two-choices", "least-outstanding"}
+	rs := plays(t, d, policies...)
+	own := rs[0]
+	for i, p := range policies[1:] {
+		if other := rs[i+1]; own.Quantile(95) > other.Quantile(95) || own.InAim() < 0.97 {
 			t.Errorf("p95 %v ms, %v in aim; %s has %v and %v", own.Quantile(95), own.InAim(), p, other.Quantile(95), other.InAim())
 		}
 	}
@@ -67,19 +87,24 @@
 // sweep is the same whether its days run side by side or not.
 func TestTroubles(t *testing.T) {
 	t.Parallel()
+	retries := scenario.Retries{Ratio: 0.2, Slack: 20, WindowS: 5}
+	calm := day(t)
+	calm.LengthS, calm.Retries, calm.Troubles = 6, retries, nil
+	undisturbed := play(t, calm, "").Events
 	for _, kind := range []string{"kill", "freeze", "cut", "crash", "release", "lost_answers", "slow", "hot_tenant", "kill_all"} {
-		d := day(t)
-		d.LengthS, d.Retries = 6, scenario.Retries{Ratio: 0.2, Slack: 20, WindowS: 5}
-		d.Troubles = []scenario.Trouble{{Kind: kind, At: 1, For: 1.5, Count: 2, X: 4}}
-		r := play(t, d, "")
-		calm := day(t)
-		calm.LengthS, calm.Retries, calm.Troubles = d.LengthS, d.Retries, nil
-		if !r.Sound() || r.Served() < 0.5 {
-			t.Errorf("%s: served %v, broken %v", kind, r.Served(), r.Broken)
-		}
-		if r.Events == play(t, calm, "").Events {
-			t.Errorf("%s: nothing happened", kind)
-		}
+		t.Run(kind, func(t *testing.T) {
+			t.Parallel()
+			d := day(t)
+			d.LengthS, d.Retries = 6, retries
+			d.Troubles = []scenario.Trouble{{Kind: kind, At: 1, For: 1.5, Count: 2, X: 4}}
+			r := play(t, d, "")
+			if !r.Sound() || r.Served() < 0.5 {
+				t.Errorf("%s: served %v, broken %v", kind, r.Served(), r.Broken)
+			}
+			if r.Events == undisturbed {
+				t.Errorf("%s: nothing happened", kind)
+			}
+		})
 	}
 	d := day(t)
 	d.LengthS, d.Troubles = 2, nil
@@ -119,7 +144,8 @@
 	}
 	d.LengthS = 10
 	d.Troubles = []scenario.Trouble{{Kind: "zone_dark", At: 2, For: 4}, {Kind: "zone_slow", At: 7, For: 2, X: 4}}
-	own, other := play(t, d, ""), play(t, d, "two-choices")
+	rs := plays(t, d, "", "two-choices")
+	own, other := rs[0], rs[1]
 	if !own.Sound() || own.InAim() < 0.95 || own.InAim() < other.InAim() {
 		t.Errorf("sound %v, %v in aim; two choices have %v", own.Sound(), own.InAim(), other.InAim())
 	}
