Tests of kept connections: time stands still while they look at ages

Ages of 50 ms and shares of 10 s were compared with the machine's clock while the test went on: a pause of 150 ms in the wrong place turned the verdict. The sockets stay; the clock is that of a bubble of synctest, which passes only in its sleeps.

go test ./internal/connpool, with and without -race, passes.

--- a/internal/connpool/connpool_test.go
+++ b/internal/connpool/connpool_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -23,128 +24,136 @@
 // are closed; past their time they are not used.
 func TestIdleConnections(t *testing.T) {
 	t.Parallel()
-	addr := listen(t)
-	p := New[int](2, patience, patience)
-	p.Update(1, addr, 0, true)
-	h := p.Host(1)
-	var cs [2]*Conn[int]
-	for i := range cs {
-		c, err := p.Connect(context.Background(), h)
-		if err != nil {
-			t.Fatal(err)
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		addr := listen(t)
+		p := New[int](2, patience, patience)
+		p.Update(1, addr, 0, true)
+		h := p.Host(1)
+		var cs [2]*Conn[int]
+		for i := range cs {
+			c, err := p.Connect(context.Background(), h)
+			if err != nil {
+				t.Fatal(err)
+			}
+			cs[i] = c
 		}
-		cs[i] = c
-	}
-	if _, err := p.Connect(context.Background(), h); err != ErrNoRoom {
-		t.Errorf("past the budget: %v", err)
-	}
-	p.Put(cs[0])
-	p.Put(cs[1])
-	if c := p.Take(h); c != cs[1] {
-		t.Error("not the latest used")
-	}
-	p.Put(cs[1])
-	if c, err := p.Connect(context.Background(), h); err != nil {
-		t.Errorf("an idle connection did not make room: %v", err)
-	} else {
-		c.Close()
-	}
-	if len(h.idle) != 1 || h.idle[0] != cs[1] || p.open != 1 {
-		t.Errorf("%d idle, %d open", len(h.idle), p.open)
-	}
-	cs[1].IdleAt = time.Now().Add(-2 * patience)
-	if c := p.Take(h); c != nil || p.open != 0 {
-		t.Errorf("an old connection was taken, %d open", p.open)
-	}
+		if _, err := p.Connect(context.Background(), h); err != ErrNoRoom {
+			t.Errorf("past the budget: %v", err)
+		}
+		p.Put(cs[0])
+		p.Put(cs[1])
+		if c := p.Take(h); c != cs[1] {
+			t.Error("not the latest used")
+		}
+		p.Put(cs[1])
+		if c, err := p.Connect(context.Background(), h); err != nil {
+			t.Errorf("an idle connection did not make room: %v", err)
+		} else {
+			c.Close()
+		}
+		if len(h.idle) != 1 || h.idle[0] != cs[1] || p.open != 1 {
+			t.Errorf("%d idle, %d open", len(h.idle), p.open)
+		}
+		cs[1].IdleAt = time.Now().Add(-2 * patience)
+		if c := p.Take(h); c != nil || p.open != 0 {
+			t.Errorf("an old connection was taken, %d open", p.open)
+		}
+	})
 }
 
 // The time of one request says nothing about a connection that is kept after it:
 // with that deadline left on it, the check for silence took it for closed.
 func TestKeptPastTheDeadline(t *testing.T) {
 	t.Parallel()
-	addr := listen(t)
-	p := New[int](2, patience, patience)
-	p.Update(1, addr, 0, true)
-	h := p.Host(1)
-	c, err := p.Connect(context.Background(), h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.SetDeadline(time.Now().Add(-time.Second))
-	p.Put(c)
-	if p.Take(h) != c {
-		t.Error("a sound connection was closed")
-	}
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		addr := listen(t)
+		p := New[int](2, patience, patience)
+		p.Update(1, addr, 0, true)
+		h := p.Host(1)
+		c, err := p.Connect(context.Background(), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.SetDeadline(time.Now().Add(-time.Second))
+		p.Put(c)
+		if p.Take(h) != c {
+			t.Error("a sound connection was closed")
+		}
+	})
 }
 
 // A connection is given up before the time is over for which its server said to keep
 // it, also where that is shorter than the pool's own.
 func TestKeepFor(t *testing.T) {
 	t.Parallel()
-	p := New[int](2, patience, patience)
-	p.Update(1, listen(t), 0, true)
-	h := p.Host(1)
-	c, err := p.Connect(context.Background(), h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	c.KeepFor = patience / 2
-	p.Put(c)
-	c.IdleAt = time.Now().Add(-patience / 4)
-	if p.Take(h) != c {
-		t.Fatal("given up too soon")
-	}
-	p.Put(c)
-	c.IdleAt = time.Now().Add(-patience/2 + patience/40)
-	if p.Take(h) != nil {
-		t.Error("used when its server is about to close it")
-	}
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		p := New[int](2, patience, patience)
+		p.Update(1, listen(t), 0, true)
+		h := p.Host(1)
+		c, err := p.Connect(context.Background(), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.KeepFor = patience / 2
+		p.Put(c)
+		c.IdleAt = time.Now().Add(-patience / 4)
+		if p.Take(h) != c {
+			t.Fatal("given up too soon")
+		}
+		p.Put(c)
+		c.IdleAt = time.Now().Add(-patience/2 + patience/40)
+		if p.Take(h) != nil {
+			t.Error("used when its server is about to close it")
+		}
+	})
 }
 
 // Once a connection that had rested was forgotten, requests that must not run twice
 // are given none that rested so long, for some time; others are.
 func TestForgotten(t *testing.T) {
 	t.Parallel()
-	p := New[int](3, patience, patience)
-	p.Update(1, listen(t), 0, true)
-	h := p.Host(1)
-	c, err := p.Connect(context.Background(), h)
-	if err != nil {
-		t.Fatal(err)
-	}
-	rested := func(d time.Duration) {
-		p.Put(c)
-		c.IdleAt = time.Now().Add(-d)
-	}
-	const old = 30 * youngest
-	rested(old)
-	if p.TakeFresh(h) != c {
-		t.Fatal("nothing speaks against it yet")
-	}
-	for _, group := range []int{newConns, 0, newConns, 0} { // says nothing of rest
-		p.Forgot(group, 0)
-	}
-	p.Forgot(ageGroup(10*youngest), 7) // one limiter, however often it says so
-	p.Forgot(ageGroup(10*youngest), 7)
-	rested(old)
-	if p.TakeFresh(h) != c {
-		t.Error("a new connection that broke speaks against it, or a single one that rested")
-	}
-	p.Forgot(ageGroup(10*youngest), 0)
-	rested(old)
-	if p.TakeFresh(h) != nil {
-		t.Error("one that may have been forgotten was given")
-	}
-	if p.Take(h) != c {
-		t.Error("what can be sent again goes nowhere")
-	}
-	rested(2 * youngest)
-	if p.TakeFresh(h) != c {
-		t.Error("one that rested for less was not given")
-	}
-	p.careful.until = time.Now().Add(-time.Second)
-	rested(old)
-	if p.TakeFresh(h) != c {
-		t.Error("it is held against them for ever")
-	}
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		p := New[int](3, patience, patience)
+		p.Update(1, listen(t), 0, true)
+		h := p.Host(1)
+		c, err := p.Connect(context.Background(), h)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rested := func(d time.Duration) {
+			p.Put(c)
+			c.IdleAt = time.Now().Add(-d)
+		}
+		const old = 30 * youngest
+		rested(old)
+		if p.TakeFresh(h) != c {
+			t.Fatal("nothing speaks against it yet")
+		}
+		for _, group := range []int{newConns, 0, newConns, 0} { // says nothing of rest
+			p.Forgot(group, 0)
+		}
+		p.Forgot(ageGroup(10*youngest), 7) // one limiter, however often it says so
+		p.Forgot(ageGroup(10*youngest), 7)
+		rested(old)
+		if p.TakeFresh(h) != c {
+			t.Error("a new connection that broke speaks against it, or a single one that rested")
+		}
+		p.Forgot(ageGroup(10*youngest), 0)
+		rested(old)
+		if p.TakeFresh(h) != nil {
+			t.Error("one that may have been forgotten was given")
+		}
+		if p.Take(h) != c {
+			t.Error("what can be sent again goes nowhere")
+		}
+		rested(2 * youngest)
+		if p.TakeFresh(h) != c {
+			t.Error("one that rested for less was not given")
+		}
+		p.careful.until = time.Now().Add(-time.Second)
+		rested(old)
+		if p.TakeFresh(h) != c {
+			t.Error("it is held against them for ever")
+		}
+	})
 }
--- a/internal/connpool/fresh_test.go
+++ b/internal/connpool/fresh_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -12,39 +13,41 @@
 // by its server, or was taken by another request a moment before.
 func TestFreshIsLookedAtOneByOne(t *testing.T) {
 	t.Parallel()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() { l.Close() })
-	p := New[int](2, patience, patience)
-	p.Update(1, l.Addr().String(), 0, true)
-	h := p.Host(1)
-	var ours [2]*Conn[int]
-	var theirs [2]net.Conn
-	for i := range ours {
-		if ours[i], err = p.Connect(context.Background(), h); err != nil {
+	synctest.Test(t, func(t *testing.T) { // time stands still
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
 			t.Fatal(err)
 		}
-		if theirs[i], err = l.Accept(); err != nil {
-			t.Fatal(err)
+		t.Cleanup(func() { l.Close() })
+		p := New[int](2, patience, patience)
+		p.Update(1, l.Addr().String(), 0, true)
+		h := p.Host(1)
+		var ours [2]*Conn[int]
+		var theirs [2]net.Conn
+		for i := range ours {
+			if ours[i], err = p.Connect(context.Background(), h); err != nil {
+				t.Fatal(err)
+			}
+			if theirs[i], err = l.Accept(); err != nil {
+				t.Fatal(err)
+			}
+			defer theirs[i].Close()
+		}
+		const old = 30 * youngest
+		p.Forgot(ageGroup(10*youngest), 0)
+		p.Forgot(ageGroup(10*youngest), 0)
+		p.Put(ours[0])
+		ours[0].IdleAt = time.Now().Add(-old)
+		p.Put(ours[1])
+		theirs[1].Close()
+		for ours[1].Quiet() {
+			time.Sleep(time.Millisecond)
+		}
+		if p.TakeFresh(h) != nil {
+			t.Error("one that may have been forgotten was given")
+		}
+		if p.Take(h) != ours[0] {
+			t.Error("what can be sent again goes nowhere")
 		}
-		defer theirs[i].Close()
-	}
-	const old = 30 * youngest
-	p.Forgot(ageGroup(10*youngest), 0)
-	p.Forgot(ageGroup(10*youngest), 0)
-	p.Put(ours[0])
-	ours[0].IdleAt = time.Now().Add(-old)
-	p.Put(ours[1])
-	theirs[1].Close()
-	for ours[1].Quiet() {
-		time.Sleep(time.Millisecond)
-	}
-	if p.TakeFresh(h) != nil {
-		t.Error("one that may have been forgotten was given")
-	}
-	if p.Take(h) != ours[0] {
-		t.Error("what can be sent again goes nowhere")
-	}
+	})
 }
