--- a/internal/connpool/connpool.go
+++ b/internal/connpool/connpool.go
@@ -19,7 +19,6 @@
 
 const (
 	sweepEvery = 500 * time.Millisecond
-	lookEach   = 4 // sweeps between two looks at whether servers have closed what rests
 	keepTenths = 9 // of the time that a server said
 )
 
@@ -219,15 +218,12 @@
 }
 
 // sound tells whether an idle connection may be used.
-func (p *Pool[K]) sound(c *Conn[K]) bool { return p.lasts(c, time.Now()) && c.Quiet() }
-
-// lasts tells whether the time of an idle connection is not up.
-func (p *Pool[K]) lasts(c *Conn[K], now time.Time) bool {
+func (p *Pool[K]) sound(c *Conn[K]) bool {
 	keep := p.IdleFor
 	if c.KeepFor > 0 { // given up well before the server does: a request must not cross its close
 		keep = c.KeepFor * keepTenths / 10
 	}
-	return now.Sub(c.IdleAt) < min(keep, p.ages.limit)
+	return time.Since(c.IdleAt) < min(keep, p.ages.limit) && c.Quiet()
 }
 
 // Note counts an exchange by the [Conn.Age] that its connection had.
@@ -292,36 +288,27 @@
 	}
 }
 
-// Sweep closes idle connections whose time is up or that the server has closed, until
-// the context ends. Whether one was closed costs a system call, and is looked at before
-// it is used anyway: so that is asked at each lookEach-th time alone.
+// Sweep closes idle connections whose time is up or that the server has
+// closed, until the context ends.
 func (p *Pool[K]) Sweep(ctx context.Context) {
-	for i := 1; backoff.Sleep(ctx, sweepEvery); i++ {
-		p.sweep(time.Now(), i%lookEach == 0)
-	}
-}
-
-// sweep closes idle connections whose time is up and, where it looks, those that the
-// server has closed.
-func (p *Pool[K]) sweep(now time.Time, look bool) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	p.ages.fade(now)
-	p.ages.judge()
-	for _, h := range p.hosts {
-		if len(h.idle) == 0 {
-			continue
-		}
-		kept := h.idle[:0]
-		for _, c := range h.idle {
-			if p.lasts(c, now) && (!look || c.Quiet()) {
-				kept = append(kept, c)
-			} else {
-				c.closeLocked()
+	for ctx.Err() == nil {
+		backoff.Sleep(ctx, sweepEvery)
+		p.mu.Lock()
+		p.ages.fade(time.Now())
+		p.ages.judge()
+		for _, h := range p.hosts {
+			kept := h.idle[:0]
+			for _, c := range h.idle {
+				if p.sound(c) {
+					kept = append(kept, c)
+				} else {
+					c.closeLocked()
+				}
 			}
+			clear(h.idle[len(kept):])
+			h.idle = kept
 		}
-		clear(h.idle[len(kept):])
-		h.idle = kept
+		p.mu.Unlock()
 	}
 }
 
