Members that don't lead don't tick while they wait for their disk

Cause: since the mutex is given up for a write, a candidate's election time ran on while its vote for itself was being stored: on a disk that took 1 to 2 s it began another election before it had asked for votes (seen on the loaded machine: terms 1 to 7 in 10 s). Change: a member ticks while a write is out only if it leads. Test: controlplane.TestCandidateWaitsForItsDisk. newSlowDisk's tick is Core.tick now, as Run's.

--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -225,9 +225,8 @@
 		case <-t.C:
 		}
 		c.mu.Lock()
-		c.watchDisk()
+		c.tick()
 		if !c.diskDown {
-			c.node.Tick()
 			c.ticks++
 			c.keeper.ticks = c.ticks
 			c.tend()
@@ -242,6 +241,15 @@
 	}
 }
 
+// tick has time go on. For those who don't lead it stands still while they wait for the
+// disk: a candidate would begin another election before its vote for itself is stored.
+func (c *Core) tick() {
+	c.watchDisk()
+	if !c.diskDown && (!c.writing || c.node.Role() == agreement.Leader) {
+		c.node.Tick()
+	}
+}
+
 // HandOver makes a leader that is about to end call an election elsewhere.
 func (c *Core) HandOver() {
 	c.mu.Lock()
--- a/controlplane/disk_test.go
+++ b/controlplane/disk_test.go
@@ -90,10 +90,7 @@
 func (d *slowDisk) tick(n int) {
 	for range n {
 		d.mu.Lock()
-		d.watchDisk()
-		if !d.diskDown {
-			d.node.Tick()
-		}
+		d.Core.tick()
 		d.process()
 		d.mu.Unlock()
 	}
@@ -213,3 +210,23 @@
 		t.Errorf("%+v", s)
 	}
 }
+
+// A candidate whose disk is slow waits for its vote to be stored, and asks for others'
+// then: it begins no further election meanwhile.
+func TestCandidateWaitsForItsDisk(t *testing.T) {
+	t.Parallel()
+	d := newSlowDisk(t)
+	for d.node.Role() != agreement.Candidate {
+		d.tick(1)
+	}
+	d.sent()
+	term := d.node.Term() + 1
+	d.get(agreement.Message{Kind: agreement.PreVoteReply, Term: term})
+	<-d.entered
+	d.tick(stallTicks - 1)
+	d.result <- nil
+	d.rest()
+	if out := d.sent(); len(out) != 1 || out[0].Kind != agreement.Vote || out[0].Term != term || d.node.Term() != term {
+		t.Errorf("term %d, not %d: %+v", d.node.Term(), term, out)
+	}
+}
