A test in fake time that hangs ends after 20 minutes of its clock

Cause: a core ticks for ever, so no bubble with one is found to be without anything to do; a call that heeds no context ran into go test's 10 min. And where a lease waits for nothing, TestLeasesAreOfTheNewest asked on without its clock going on. Change: a bubble's clock that has gone on for 20 min ends the run with its stacks; each watcher of that test waits 1 ms of fake time between its questions.

--- a/controlplane/bubble_test.go
+++ b/controlplane/bubble_test.go
@@ -24,10 +24,16 @@
 	t.Parallel()
 	synctest.Test(t, func(t *testing.T) {
 		t.Cleanup(func() { time.Sleep(2 * time.Second) }) // the last: a store that was closed ends within one (goleveldb's pool)
+		hangs := time.AfterFunc(bubbleMost, func() { panic(fmt.Sprintf("%s: its clock has gone on for %v", t.Name(), bubbleMost)) })
+		t.Cleanup(func() { hangs.Stop() })
 		test(t)
 	})
 }
 
+// bubbleMost is against a hang: a core ticks on for ever, so that no bubble with one is
+// ever found to be without anything to do.
+const bubbleMost = 20 * time.Minute
+
 // runInBubble runs a subtest so.
 func runInBubble(t *testing.T, name string, test func(*testing.T)) {
 	t.Run(name, func(t *testing.T) { inBubble(t, test) })
--- a/controlplane/cutoff_test.go
+++ b/controlplane/cutoff_test.go
@@ -416,8 +416,8 @@
 					t.Error(err)
 					return
 				}
+				time.Sleep(time.Millisecond) // else the bubble's clock stands where an answer waits for nothing
 				if !n.Lease {
-					time.Sleep(time.Millisecond)
 					continue
 				}
 				leases.Add(1)
