--- a/dataplane/words/teller.go
+++ b/dataplane/words/teller.go
@@ -259,14 +259,8 @@
 // pause is how seldom a target is told what there is to tell it.
 func (t *Teller) pause(x *target) float64 {
 	switch {
-	case t.vast && x.hinted && len(x.hints) > 0:
-		return vastShareMs
-	case t.vast && x.failed:
-		return soonMs
-	case t.vast && x.within > 0:
-		return x.within
 	case t.vast:
-		return manyAliveMs
+		return t.vastPause(x)
 	case t.many && x.hinted && len(x.hints) > 0:
 		return shareMs
 	case t.many && (x.failed || x.within > 0):
@@ -281,6 +275,22 @@
 	return farMs
 }
 
+// vastPause is the shortest that any of what there is to tell asks for: what a quota
+// needs must not wait for loads.
+func (t *Teller) vastPause(x *target) float64 {
+	pause := manyAliveMs
+	if x.hinted && len(x.hints) > 0 {
+		pause = vastShareMs
+	}
+	if x.failed {
+		pause = min(pause, soonMs)
+	}
+	if x.within > 0 {
+		pause = min(pause, x.within)
+	}
+	return pause
+}
+
 func (t *Teller) aliveMs() float64 {
 	if t.many {
 		return manyAliveMs
--- a/dataplane/words/words_test.go
+++ b/dataplane/words/words_test.go
@@ -227,3 +227,58 @@
 		t.Errorf("%d words say so long after", n)
 	}
 }
+
+// Units of a tenant that has little left go out at once in a vast fleet too, whatever
+// else there is to tell of servers.
+func TestUrgentUnitsDoNotWaitForLoads(t *testing.T) {
+	const tenant, rate, urgentMs = 7, 1000.0, 50.0
+	self := quota.Member{ID: 1 << 40, Zone: "a"}
+	var peers []quota.Member
+	for i := range uint64(quota.Vast + 20) {
+		peers = append(peers, quota.Member{ID: (i + 2) << 40, Zone: string(rune('a' + i%5))})
+	}
+	q, b, teller := quota.New(0, self), balance.New("a", self.ID, 1), NewTeller(self, 1, Budget{})
+	q.Plans(0, map[uint64]quota.Plan{tenant: {Rate: rate, Burst: rate}})
+	q.Members(0, peers)
+	teller.Peers(peers, q.Level())
+	var list []api.Server
+	for i := range 60 {
+		list = append(list, api.Server{ID: fmt.Sprint("i-", i), Upstream: "s", Addr: "x", Zone: "a", Capacity: 2, State: api.InService})
+	}
+	b.Update(0, list)
+	last, most, words := map[uint64]float64{}, map[uint64]float64{}, 0
+	for now := 0.0; now < 4000; now += teller.TickMs() {
+		for range int(4 * rate * teller.TickMs() / 1000) {
+			q.Admit(now, tenant)
+		}
+		for _, m := range b.Members() { // slow answers, which are loads to tell
+			b.Sent(m)
+			b.Done(now, m, balance.Good, 100*float64(1+int(now)%7))
+		}
+		teller.Tick(now, q, b, func(to uint64, w *Word) {
+			if now > 2000 && len(w.Spent) > 0 { // the burst is used up
+				most[to] = max(most[to], now-last[to])
+				words++
+			}
+			if len(w.Spent) > 0 {
+				last[to] = now
+			}
+		})
+	}
+	if words < 40*10 {
+		t.Fatalf("only %d words told units", words)
+	}
+	mates := 0
+	for _, x := range teller.targets {
+		if !x.member {
+			continue
+		}
+		mates++
+		if gap := most[x.ID]; gap == 0 || gap > urgentMs+2*teller.TickMs() {
+			t.Errorf("%x was told units %.0f ms apart", x.ID, gap)
+		}
+	}
+	if mates == 0 {
+		t.Error("nobody is told units")
+	}
+}
