--- a/controlplane/corehistory_test.go
+++ b/controlplane/corehistory_test.go
@@ -624,38 +624,31 @@
 
 // whole tells that all members are there and at one on who they are: a store can be lost.
 func (w *coreWorld) whole() bool {
-	w.mu.Lock()
-	defer w.mu.Unlock()
 	var ids []agreement.ID
+	var lives []*life
+	w.mu.Lock()
+	ok := true
 	for _, m := range w.machines {
-		if m.life == nil || m.corrupt || m.life.p != m.platter {
-			return false
-		}
-		ids = append(ids, m.platter.id)
+		ok = ok && m.life != nil && !m.corrupt && m.life.p == m.platter
+		ids, lives = append(ids, m.platter.id), append(lives, m.life)
 	}
 	for _, k := range w.links {
-		if k.cut {
-			return false
-		}
+		ok = ok && !k.cut
+	}
+	w.mu.Unlock()
+	if !ok {
+		return false
 	}
 	var leader agreement.ID
-	for _, m := range w.machines {
-		n := &m.life.core.mu
-		if !n.TryLock() {
-			return false
-		}
-		node := m.life.core.node
-		ms, of, changing := node.Members(), node.Leader(), node.Changing()
-		n.Unlock()
-		if of == 0 || leader != 0 && of != leader || changing || len(ms) != len(w.machines) {
+	for _, l := range lives {
+		l.core.mu.Lock()
+		ms, of, changing := l.core.node.Members(), l.core.node.Leader(), l.core.node.Changing()
+		l.core.mu.Unlock()
+		if of == 0 || leader != 0 && of != leader || changing || len(ms) != len(w.machines) ||
+			slices.ContainsFunc(ms, func(x agreement.Member) bool { return !x.Voter || !slices.Contains(ids, x.ID) }) {
 			return false
 		}
 		leader = of
-		for _, x := range ms {
-			if !x.Voter || !slices.Contains(ids, x.ID) {
-				return false
-			}
-		}
 	}
 	return true
 }
@@ -692,7 +685,17 @@
 		w.powerOff(w.machines...)
 	case 7:
 		set(func() { w.trap = true })
-	case 8, 9, 10:
+	case 8: // the core falls in two
+		set(func() {
+			for i, a := range w.machines {
+				for j, b := range w.machines {
+					if slices.Contains(some, i) != slices.Contains(some, j) {
+						w.links[[2]string{a.addr, b.addr}].cut = true
+					}
+				}
+			}
+		})
+	case 9, 10: // one machine is cut off, or its words alone, or what it hears
 		set(func() {
 			for _, o := range w.machines {
 				if o != one {
