A configuration is split by one piece of code; the other way is the tests' own

Since members split by difference (api.SplitConfig) api.ConfigRows was called by the lab tool and by tests alone, and FuzzParseConfig held what is taken against it, not against what a member really does. Now the lab tool and the gateway's tests call SplitConfig; the old way stays, in api's tests, as what SplitConfig is held against; and the fuzz target asks both. No assertion went. The gateway's program calls what it called before.

--- a/api/config_test.go
+++ b/api/config_test.go
@@ -79,7 +79,10 @@
 			t.Error("an invalid configuration was taken")
 		}
 		// What is taken must be tellable to limiters: a member of the core halts where it isn't.
-		if revision, _, err := ConfigRows(b); err != nil || revision != c.Revision {
+		if split, err := SplitConfig(b, nil); err != nil || split.Revision != c.Revision {
+			t.Fatalf("%x is sound and can't be split: %v", b, err)
+		}
+		if revision, _, err := configRows(b); err != nil || revision != c.Revision {
 			t.Errorf("a configuration was taken whose rows can't be read: revision %d, %v", revision, err)
 		}
 	})
--- a/api/rows.go
+++ b/api/rows.go
@@ -20,51 +20,6 @@
 // ErrRow tells of a row that is none of a configuration's.
 var ErrRow = errors.New("api: a row of the configuration can't be read")
 
-// ConfigRows splits a configuration that was checked into rows. The values are
-// parts of data.
-func ConfigRows(data []byte) (revision uint64, rows map[string][]byte, err error) {
-	var c struct {
-		Revision  uint64            `cbor:"revision"`
-		Routes    []cbor.RawMessage `cbor:"route_table"`
-		Upstreams []cbor.RawMessage `cbor:"upstream_table"`
-		Limits    cbor.RawMessage   `cbor:"request_limits"`
-		Tenants   []cbor.RawMessage `cbor:"tenant_table"`
-	}
-	if err := Unmarshal(data, &c); err != nil {
-		return 0, nil, fmt.Errorf("api: %w", err)
-	}
-	rows = make(map[string][]byte, len(c.Routes)+len(c.Upstreams)+len(c.Tenants)+1)
-	for _, raw := range c.Routes {
-		var r struct {
-			Host   string `cbor:"host_match"`
-			Prefix string `cbor:"path_prefix"`
-		}
-		if err := strict.Unmarshal(raw, &r); err != nil {
-			return 0, nil, fmt.Errorf("api: %w", err)
-		}
-		rows[RouteKey(r.Host, r.Prefix)] = raw
-	}
-	named := func(kind byte, raws []cbor.RawMessage) error {
-		for _, raw := range raws {
-			var x struct {
-				Name string `cbor:"name"`
-			}
-			if err := strict.Unmarshal(raw, &x); err != nil {
-				return fmt.Errorf("api: %w", err)
-			}
-			rows[string(kind)+x.Name] = raw
-		}
-		return nil
-	}
-	if err := errors.Join(named(upstreamRow, c.Upstreams), named(tenantRow, c.Tenants)); err != nil {
-		return 0, nil, err
-	}
-	if len(c.Limits) > 0 {
-		rows[limitsRow] = c.Limits
-	}
-	return c.Revision, rows, nil
-}
-
 // RouteKey is the key of a route's row.
 func RouteKey(host, prefix string) string {
 	return string(routeRow) + strings.ToLower(host) + " " + prefix
--- a/api/split.go
+++ b/api/split.go
@@ -7,8 +7,8 @@
 	"github.com/fxamacker/cbor/v2"
 )
 
-// ConfigSplit is a configuration split into rows, as [ConfigRows] does, that remembers in
-// which order they stood: the next one differs from it in a few rows, and takes all the
+// ConfigSplit is a configuration split into rows, that remembers in which order they
+// stood: the next one differs from it in a few rows, and takes all the
 // others over, compared by their bytes alone. It is not changed once it is made.
 type ConfigSplit struct {
 	Revision uint64
--- a/api/split_test.go
+++ b/api/split_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -68,7 +69,7 @@
 			if want != nil {
 				continue
 			}
-			revision, rows, err := ConfigRows(data)
+			revision, rows, err := configRows(data)
 			if err != nil || revision != s.Revision || !maps.EqualFunc(rows, s.Rows, bytes.Equal) {
 				t.Fatalf("%v: revision %d and %d, %d and %d rows", err, revision, s.Revision, len(rows), len(s.Rows))
 			}
@@ -117,3 +118,48 @@
 func split3(data []byte, before *ConfigSplit) (*ConfigSplit, *Config, error) {
 	return split(data, before, true)
 }
+
+// configRows splits a configuration into rows without any other: what [SplitConfig] is
+// held against.
+func configRows(data []byte) (revision uint64, rows map[string][]byte, err error) {
+	var c struct {
+		Revision  uint64            `cbor:"revision"`
+		Routes    []cbor.RawMessage `cbor:"route_table"`
+		Upstreams []cbor.RawMessage `cbor:"upstream_table"`
+		Limits    cbor.RawMessage   `cbor:"request_limits"`
+		Tenants   []cbor.RawMessage `cbor:"tenant_table"`
+	}
+	if err := Unmarshal(data, &c); err != nil {
+		return 0, nil, fmt.Errorf("api: %w", err)
+	}
+	rows = make(map[string][]byte, len(c.Routes)+len(c.Upstreams)+len(c.Tenants)+1)
+	for _, raw := range c.Routes {
+		var r struct {
+			Host   string `cbor:"host_match"`
+			Prefix string `cbor:"path_prefix"`
+		}
+		if err := strict.Unmarshal(raw, &r); err != nil {
+			return 0, nil, fmt.Errorf("api: %w", err)
+		}
+		rows[RouteKey(r.Host, r.Prefix)] = raw
+	}
+	named := func(kind byte, raws []cbor.RawMessage) error {
+		for _, raw := range raws {
+			var x struct {
+				Name string `cbor:"name"`
+			}
+			if err := strict.Unmarshal(raw, &x); err != nil {
+				return fmt.Errorf("api: %w", err)
+			}
+			rows[string(kind)+x.Name] = raw
+		}
+		return nil
+	}
+	if err := errors.Join(named(upstreamRow, c.Upstreams), named(tenantRow, c.Tenants)); err != nil {
+		return 0, nil, err
+	}
+	if len(c.Limits) > 0 {
+		rows[limitsRow] = c.Limits
+	}
+	return c.Revision, rows, nil
+}
--- a/coreload/hollow/hollow.go
+++ b/coreload/hollow/hollow.go
@@ -236,12 +236,12 @@
 		if len(data) > api.MaxConfig {
 			return nil, fmt.Errorf("a configuration of %d bytes: %d at most (api.MaxConfig)", len(data), api.MaxConfig)
 		}
-		revision, rows, err := api.ConfigRows(data)
+		split, err := api.SplitConfig(data, nil)
 		if err != nil {
 			return nil, err
 		}
 		had := t.Version()
-		t.Replace(revision, rows)
+		t.Replace(split.Revision, split.Rows)
 		b, err := t.Since(had)
 		return b.Data, err
 	}
--- a/dataplane/news_test.go
+++ b/dataplane/news_test.go
@@ -23,11 +23,11 @@
 	if err := c.Validate(); err != nil {
 		t.Fatal(err)
 	}
-	_, rows, err := api.ConfigRows(data)
+	split, err := api.SplitConfig(data, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
-	return rows
+	return split.Rows
 }
 
 func since(t testing.TB, table *changes.Table, from uint64) *changes.Reader {
