--- a/telemetry/spent.go
+++ b/telemetry/spent.go
@@ -7,7 +7,6 @@
 	"io"
 	"os"
 	"path/filepath"
-	"runtime"
 	"runtime/metrics"
 	"runtime/pprof"
 	"strings"
@@ -90,7 +89,6 @@
 	s := ReadSpent().Since(r.start)
 	s.WallS = time.Since(r.begun).Seconds()
 	pprof.StopCPUProfile()
-	runtime.KeepAlive(r)
 	data, err := json.Marshal(s)
 	if err == nil {
 		err = os.WriteFile(r.path+".json", data, 0o644)
