No timer of the core is due as it is made

A round of heartbeats that was due got such a timer (beatSoon), a watch without a wait another. Now each is a nanosecond off at least; nothing else differs, and no test does.

--- a/controlplane/watch.go
+++ b/controlplane/watch.go
@@ -62,7 +62,9 @@
 		return
 	}
 	c.asks.beating = true
-	time.AfterFunc(confirmEvery-time.Since(c.asks.beatAt), func() {
+	// Never due as it is made: in fake time such a one runs on the caller's thread, which
+	// crashes Go 1.26's race detector.
+	time.AfterFunc(max(1, confirmEvery-time.Since(c.asks.beatAt)), func() {
 		c.mu.Lock()
 		defer c.mu.Unlock()
 		c.asks.beating, c.asks.beatAt = false, time.Now()
@@ -227,7 +229,7 @@
 
 // awaitNews waits for something newer than the asker has; false: the call is over.
 func (c *Core) awaitNews(ctx context.Context, q *api.Watch) bool {
-	t := time.NewTimer(min(watchMost, time.Duration(q.WaitMs)*time.Millisecond))
+	t := time.NewTimer(max(1, min(watchMost, time.Duration(q.WaitMs)*time.Millisecond)))
 	defer t.Stop()
 	for c.state.Revision <= q.Revision && c.servers.table.Version() <= q.Servers {
 		changed := c.changed
