--- a/controlplane/cluster_test.go
+++ b/controlplane/cluster_test.go
@@ -27,6 +27,8 @@
 	net     testNetwork
 	timeout time.Duration
 	addrs   []string
+	seeds   []string          // that each machine is told
+	voters  int               // wanted
 	cores   map[string]*Core  // that run, by address
 	stops   map[string]func() // likewise
 }
@@ -53,12 +55,14 @@
 		t:       t,
 		net:     network,
 		timeout: testTimeout,
+		voters:  3,
 		cores:   map[string]*Core{},
 		stops:   map[string]func(){},
 	}
 	for range machines {
 		c.addrs = append(c.addrs, c.net.newAddr())
 	}
+	c.seeds = c.addrs
 	t.Cleanup(func() {
 		for _, stop := range c.stops {
 			stop()
@@ -87,9 +91,9 @@
 	}
 	core, err := NewCore(CoreConfig{
 		Addr:      addr,
-		Seeds:     c.addrs,
+		Seeds:     c.seeds,
 		Bootstrap: bootstrap,
-		Voters:    3,
+		Voters:    c.voters,
 		Store:     store,
 		Conns:     c.net.conns(),
 		Log:       slog.New(slog.DiscardHandler),
@@ -178,7 +182,7 @@
 // client is a client without a member in its process.
 func (c *cluster) client() *Client {
 	client := &Client{Conns: c.net.conns(), Log: slog.New(slog.DiscardHandler)}
-	client.SetMembers("", c.addrs)
+	client.SetMembers("", c.seeds)
 	c.t.Cleanup(client.Conns.Close)
 	return client
 }
--- a/controlplane/host.go
+++ b/controlplane/host.go
@@ -82,9 +82,11 @@
 }
 
 // isolated reports whether no leader is known, or this process is no member.
-func (h *raftHost) isolated() bool {
-	isSelf := func(m raft.Member) bool { return m.ID == h.id }
-	return h.node.Leader() == 0 || !slices.ContainsFunc(h.node.Members(), isSelf)
+func (h *raftHost) isolated() bool { return h.node.Leader() == 0 || !h.isMember() }
+
+// isMember reports whether this process is a member, as far as its log says.
+func (h *raftHost) isMember() bool {
+	return slices.ContainsFunc(h.node.Members(), func(m raft.Member) bool { return m.ID == h.id })
 }
 
 // tick lets one tick pass. Only a leader's node is ticked while a write is in flight: a candidate
--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -26,6 +26,7 @@
 	host      *raftHost
 
 	policy memberPolicy
+	health voterHealth
 }
 
 // Addrs are the addresses of the core, as far as known: the seeds and the present members.
@@ -39,21 +40,42 @@
 
 // requestJoin asks the others to add this member.
 func (m *memberManager) requestJoin(ctx context.Context) {
+	var answers []string
 	for _, addr := range m.Addrs() {
 		if addr == m.cfg.Addr {
 			continue
 		}
-		conn, err := m.cfg.Conns.Conn(addr)
-		if err != nil {
-			continue
-		}
-		call, cancel := context.WithTimeout(ctx, deliverTimeout)
-		r, err := api.CallJoin(call, conn, &api.JoinRequest{ID: m.host.id, Addr: m.cfg.Addr, Joint: true})
-		cancel()
-		if err == nil && r.Status == http.StatusOK {
+		r, err := m.callJoin(ctx, addr)
+		switch {
+		case err != nil:
+			answers = append(answers, fmt.Sprintf("%s: %v", addr, err))
+		case r.Status == http.StatusOK:
 			return
+		default:
+			answers = append(answers, fmt.Sprintf("%s: leader %q, %s", addr, r.Leader, r.Reason))
 		}
 	}
+	if ctx.Err() == nil && !m.isMember() {
+		m.cfg.Log.Warn("join request not accepted", "answers", answers)
+	}
+}
+
+// callJoin asks one process to add this member.
+func (m *memberManager) callJoin(ctx context.Context, addr string) (*api.ControlResponse, error) {
+	conn, err := m.cfg.Conns.Conn(addr)
+	if err != nil {
+		return nil, err
+	}
+	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
+	defer cancel()
+	return api.CallJoin(ctx, conn, &api.JoinRequest{ID: m.host.id, Addr: m.cfg.Addr, Joint: true})
+}
+
+// isMember reports whether this process has been added, as far as it knows.
+func (m *memberManager) isMember() bool {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.host.isMember()
 }
 
 // Join adds a process as a member, at first without a vote. One that is leaving is marked as such: it
@@ -78,6 +100,7 @@
 	err := node.ProposeMembers(append(slices.Clone(members), joining))
 	m.host.handleReady()
 	if err != nil {
+		m.cfg.Log.Warn("join request rejected", "member", hexID(q.ID), "addr", q.Addr, "error", err)
 		return &api.ControlResponse{Reason: err.Error()}, nil
 	}
 	m.cfg.Log.Info("member added", "member", hexID(q.ID), "addr", q.Addr)
@@ -97,6 +120,7 @@
 
 // reconcile proposes the next change of members that the policy wants, where this member leads.
 func (m *memberManager) reconcile() {
+	m.health.update(m.host.node, m.cfg.Log)
 	change, next := m.policy.nextMembers(m.host.node)
 	if next == nil {
 		return
@@ -107,12 +131,7 @@
 		}
 		return
 	}
-	var voters []string
-	for _, o := range next {
-		if o.Voter {
-			voters = append(voters, fmt.Sprintf("%s %s", hexID(o.ID), o.Addr))
-		}
-	}
+	voters := describeMembers(slices.DeleteFunc(slices.Clone(next), func(o raft.Member) bool { return !o.Voter }))
 	m.cfg.Log.Info("membership changed", "change", change, "voters", voters)
 	m.host.handleReady()
 }
--- a/controlplane/members_test.go
+++ b/controlplane/members_test.go
@@ -37,11 +37,11 @@
 		machines: c.addrs,
 		dirs:     map[string]string{},
 	}
-	c.addrs = c.addrs[:3] // the seeds
+	c.seeds = c.addrs[:3]
 	r.client = c.client()
 	for i, addr := range r.machines {
 		r.dirs[addr] = memoryDir(t)
-		c.start(addr, r.dirs[addr], i < len(c.addrs))
+		c.start(addr, r.dirs[addr], i < len(c.seeds))
 	}
 	c.waitUntil("all are there", r.complete)
 	before := c.commitIndex()
--- a/controlplane/replacement_losses_test.go
+++ b/controlplane/replacement_losses_test.go
@@ -150,16 +150,6 @@
 	return nil, errors.New("no new leader")
 }
 
-func voterCount(members []raft.Member) int {
-	voters := 0
-	for _, m := range members {
-		if m.Voter {
-			voters++
-		}
-	}
-	return voters
-}
-
 // replaceInTwoSteps is how voters were replaced once: by one more and, 0.2 s later, one less;
 // those that do not answer after 3 s, as a leader counts them from its election on. Its proposals may be
 // refused; then it makes them again.
--- a/controlplane/status.go
+++ b/controlplane/status.go
@@ -15,6 +15,8 @@
 	DiskFails        bool
 	Halted           string // why it stopped serving for good; empty: it serves
 	Members          []string
+	// UnresponsiveVoters have not answered this leader for 2 s: each is a loss that is not repaired.
+	UnresponsiveVoters []string `json:",omitempty"`
 	// Watches wait here for changes. What is held for them: encoded deltas, and
 	// for each a chunk at most, so MaxDeltaBytes in all.
 	Watches       int
@@ -28,17 +30,18 @@
 	defer c.mu.Unlock()
 	host, node := &c.host, c.host.node
 	s := CoreStatus{
-		ID:            hexID(host.id),
-		Role:          node.Role().String(),
-		Leader:        host.leaderAddr(),
-		Term:          node.Term(),
-		Commit:        node.CommitIndex(),
-		Revision:      c.store.state.Revision,
-		DiskFails:     host.suspended && !host.stopped(),
-		Halted:        host.stopReason,
-		Watches:       c.watches.waiting,
-		DeltaBytes:    c.watches.configs.CachedBytes() + c.endpoints.servers.table.CachedBytes(),
-		MaxDeltaBytes: 4*versioned.MaxCachedBytes + maxWatches*api.ChunkSize,
+		ID:                 hexID(host.id),
+		Role:               node.Role().String(),
+		Leader:             host.leaderAddr(),
+		Term:               node.Term(),
+		Commit:             node.CommitIndex(),
+		Revision:           c.store.state.Revision,
+		DiskFails:          host.suspended && !host.stopped(),
+		Halted:             host.stopReason,
+		UnresponsiveVoters: describeMembers(c.members.health.unresponsive),
+		Watches:            c.watches.waiting,
+		DeltaBytes:         c.watches.configs.CachedBytes() + c.endpoints.servers.table.CachedBytes(),
+		MaxDeltaBytes:      4*versioned.MaxCachedBytes + maxWatches*api.ChunkSize,
 	}
 	for _, m := range node.Members() {
 		kind := "learner"
--- a/process/gauges.go
+++ b/process/gauges.go
@@ -23,6 +23,9 @@
 	ofMember("elmspan_core_term", func(s controlplane.CoreStatus) float64 { return float64(s.Term) })
 	ofMember("elmspan_core_commit_index", func(s controlplane.CoreStatus) float64 { return float64(s.Commit) })
 	ofMember("elmspan_core_disk_fails", func(s controlplane.CoreStatus) float64 { return gaugeOf(s.DiskFails) })
+	ofMember("elmspan_core_unresponsive_voters", func(s controlplane.CoreStatus) float64 {
+		return float64(len(s.UnresponsiveVoters))
+	})
 	p.meter.Gauge("elmspan_core_news_age_seconds", func() float64 { return p.watcher.sinceLease().Seconds() })
 }
 
