A machine with an empty disk follows the leader that is named to it; no answers without a lease

Where the leader was no seed it was never added, the lost voter kept its vote, and the next loss, within the tolerance, took the majority for good. The limiters then answered 404, and served routes without keys, from a configuration that nobody confirmed: the lease was looked at after the route.

Ruled out: a pending membership change at the new leader, and a learner that is not promoted ('join request not accepted' shows that the leader is never asked).

Change: joiner asks all known addresses side by side, then the leader that an answer names; beside the seeds it asks what its process has heard of members (watch answers, membership, reloaded settings). A round is not begun while one is under way. request.resolve checks the lease before anything is looked up.

--- a/controlplane/client.go
+++ b/controlplane/client.go
@@ -77,6 +77,12 @@
 	c.selector.setFallbacks(addrs)
 }
 
+// KnownMembers are all internal addresses at which members were named to this process, the
+// leader first; some may be members no more.
+func (c *Client) KnownMembers() []string {
+	return c.selector.knownAddrs()
+}
+
 // WatchMember returns the member to watch, empty where none is known. It differs from process
 // to process; a member that failed is avoided for a while.
 func (c *Client) WatchMember() string {
--- a/controlplane/cluster_test.go
+++ b/controlplane/cluster_test.go
@@ -27,10 +27,12 @@
 	net     testNetwork
 	timeout time.Duration
 	addrs   []string
-	seeds   []string          // that each machine is told
-	voters  int               // wanted
-	cores   map[string]*Core  // that run, by address
-	stops   map[string]func() // likewise
+	seeds   []string // that each machine is told
+	voters  int      // wanted
+	// knownMembers is what each process has heard of members beside the seeds; nil: nothing.
+	knownMembers func() []string
+	cores        map[string]*Core  // that run, by address
+	stops        map[string]func() // likewise
 }
 
 // newCluster is a cluster of three members.
@@ -98,6 +100,8 @@
 		Conns:     c.net.conns(),
 		Log:       slog.New(slog.DiscardHandler),
 		Seed:      uint64(len(c.cores)),
+
+		KnownMembers: c.knownMembers,
 	})
 	if err != nil {
 		c.t.Fatal(err)
--- a/controlplane/core.go
+++ b/controlplane/core.go
@@ -33,6 +33,10 @@
 	Conns     *api.ConnPool
 	Log       *slog.Logger
 	Seed      uint64 // of the election time-outs
+	// KnownMembers, where set, returns internal addresses at which the process has heard of members by
+	// other ways than the log, as by discovery. A member that was not added yet asks these beside
+	// the seeds. It is called by any goroutine, without locks.
+	KnownMembers func() []string
 }
 
 // Store keeps a member's durable state: a [storage.Store], which says what each error means.
@@ -58,6 +62,7 @@
 	reads     readIndexBatcher
 	watches   watchServer
 	members   memberManager
+	joiner    joiner
 	transport transport
 	endpoints endpointManager
 }
@@ -149,6 +154,7 @@
 		cfg: &c.cfg, mu: &c.mu, lifecycle: &c.lifecycle, host: &c.host,
 		policy: memberPolicy{voters: c.cfg.Voters},
 	}
+	c.joiner = joiner{cfg: &c.cfg, mu: &c.mu, lifecycle: &c.lifecycle, host: &c.host}
 	c.transport = transport{
 		cfg: &c.cfg, mu: &c.mu, lifecycle: &c.lifecycle, host: &c.host,
 		queues: map[queueKey]*sendQueue{}, callTimeout: callTimeoutFor, acceptsChunks: map[raft.ID]bool{},
@@ -188,21 +194,16 @@
 			return nil
 		case <-ticker.C:
 		}
-		joins, err := c.runTick()
-		if err != nil {
+		if err := c.runTick(); err != nil {
 			stop()
 			c.lifecycle.tasks.Wait()
 			return err
 		}
-		if joins {
-			c.lifecycle.tasks.Go(func() { c.members.requestJoin(ctx) })
-		}
 	}
 }
 
-// runTick lets one tick pass in all parts. joins: this member is to ask to be added. An error
-// ends Run.
-func (c *Core) runTick() (joins bool, err error) {
+// runTick lets one tick pass in all parts. An error ends Run.
+func (c *Core) runTick() error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.host.tick()
@@ -212,7 +213,10 @@
 	}
 	c.host.handleReady()
 	if c.host.lostDurability != nil {
-		return false, c.host.lostDurability
+		return c.host.lostDurability
+	}
+	if c.host.isolated() && !c.host.suspended && c.members.policy.ticks%joinTicks == 0 {
+		c.joiner.begin()
 	}
-	return c.host.isolated() && !c.host.suspended && c.members.policy.ticks%joinTicks == 0, nil
+	return nil
 }
--- a/controlplane/doc.go
+++ b/controlplane/doc.go
@@ -18,7 +18,10 @@
 //   - watchServer (watch.go) answers limiters, with leases and deltas. It owns the versions of the
 //     configuration's rows, and counts the watches in hand.
 //   - memberManager (members.go) takes members in, replaces failed ones and lets others go. What
-//     is to change memberPolicy (memberpolicy.go) decides, without I/O.
+//     is to change memberPolicy (memberpolicy.go) decides, without I/O; voterHealth
+//     (voterhealth.go) reports voters that don't answer.
+//   - joiner (joiner.go) has this process added by the others, as long as it is no member. Whom it
+//     asks joinCandidates decides, without I/O.
 //   - transport (transport.go) carries messages between members. It owns the send queues
 //     (sendqueue.go) and chunked messages that have come in part (chunks.go).
 //   - endpointManager (endpoints.go) owns the list of servers (endpointlist.go): the leader merges
--- a/controlplane/join_test.go
+++ b/controlplane/join_test.go
@@ -96,3 +96,43 @@
 		replace("after the second loss")
 	})
 }
+
+// None of the seeds that a machine's settings name is a member any more. It is added by what its
+// process has heard of the control plane from others.
+func TestEmptyMachineJoinsWithoutItsSeeds(t *testing.T) {
+	inBubble(t, func(t *testing.T) {
+		c := newClusterOfFive(t)
+		c.letLead(c.addrs[4])
+		c.seeds = []string{c.net.newAddr(), c.net.newAddr()} // nobody is there
+		follower := c.addrs[2]
+		c.knownMembers = func() []string { return []string{c.seeds[0], follower} }
+		c.loseDisks(c.addrs[0], c.addrs[1])
+		c.awaitRepair("both are replaced")
+	})
+}
+
+// In a round each address is asked once, this process's own and empty ones never, and no more than
+// maxJoinCalls, whatever is answered.
+func TestJoinCandidates(t *testing.T) {
+	t.Parallel()
+	c := newJoinCandidates("self", []string{"a", "self", "b"}, []string{"b", "c"})
+	requireWave(t, c, "a", "b", "c")
+	c.add("", "self", "b")
+	requireWave(t, c)
+	c.add("leader")
+	requireWave(t, c, "leader")
+	for i := range 2 * maxJoinCalls {
+		c.add(string(rune('A' + i)))
+	}
+	if asked := 4 + len(c.next()); asked != maxJoinCalls {
+		t.Errorf("%d calls in a round", asked)
+	}
+	requireWave(t, c)
+}
+
+func requireWave(t *testing.T, c *joinCandidates, want ...string) {
+	t.Helper()
+	if got := c.next(); !slices.Equal(got, want) {
+		t.Errorf("asked next: %q, want %q", got, want)
+	}
+}
--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net/http"
 	"slices"
 	"sync"
@@ -38,46 +37,6 @@
 	return slices.Compact(out)
 }
 
-// requestJoin asks the others to add this member.
-func (m *memberManager) requestJoin(ctx context.Context) {
-	var answers []string
-	for _, addr := range m.Addrs() {
-		if addr == m.cfg.Addr {
-			continue
-		}
-		r, err := m.callJoin(ctx, addr)
-		switch {
-		case err != nil:
-			answers = append(answers, fmt.Sprintf("%s: %v", addr, err))
-		case r.Status == http.StatusOK:
-			return
-		default:
-			answers = append(answers, fmt.Sprintf("%s: leader %q, %s", addr, r.Leader, r.Reason))
-		}
-	}
-	if ctx.Err() == nil && !m.isMember() {
-		m.cfg.Log.Warn("join request not accepted", "answers", answers)
-	}
-}
-
-// callJoin asks one process to add this member.
-func (m *memberManager) callJoin(ctx context.Context, addr string) (*api.ControlResponse, error) {
-	conn, err := m.cfg.Conns.Conn(addr)
-	if err != nil {
-		return nil, err
-	}
-	ctx, cancel := context.WithTimeout(ctx, deliverTimeout)
-	defer cancel()
-	return api.CallJoin(ctx, conn, &api.JoinRequest{ID: m.host.id, Addr: m.cfg.Addr, Joint: true})
-}
-
-// isMember reports whether this process has been added, as far as it knows.
-func (m *memberManager) isMember() bool {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	return m.host.isMember()
-}
-
 // Join adds a process as a member, at first without a vote. One that is leaving is marked as such: it
 // is given no vote, and its vote goes to a standby. Status is 200, or 409 where a voter leaves
 // and there is no standby; 0 where this member doesn't lead.
--- a/controlplane/memberselector.go
+++ b/controlplane/memberselector.go
@@ -151,3 +151,16 @@
 	s.useMembers(slices.Clone(next))
 	s.rememberUnconfirmed(former)
 }
+
+// knownAddrs are all addresses of members that are known, whoever named them: the leader first, each once.
+func (s *memberSelector) knownAddrs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var out []string
+	for _, addr := range slices.Concat([]string{s.leader}, s.members, s.fallbacks, s.unconfirmed) {
+		if addr != "" && !slices.Contains(out, addr) {
+			out = append(out, addr)
+		}
+	}
+	return out
+}
--- a/dataplane/refusal.go
+++ b/dataplane/refusal.go
@@ -24,7 +24,7 @@
 	serverFull       = refusalReason{503, "servers_busy", "no server can answer in time"}
 	allRefused       = refusalReason{503, "none_took_it", "no server took the request"}
 	noConfig         = refusalReason{503, "no_configuration", "no configuration yet"}
-	noLease          = refusalReason{503, "no_lease", "keys can't be checked now"}
+	noLease          = refusalReason{503, "no_lease", "the configuration can't be confirmed now"}
 	deadlineExceeded = refusalReason{504, "time_up", "the time is up"}
 	noAnswer         = refusalReason{502, "no_answer", "no server gave an answer of use"}
 	serverFailed     = refusalReason{502, "server_failed", "the server failed"}
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -86,11 +86,15 @@
 	return framing, nil
 }
 
-// resolve finds the request's route and, where keys are required, its tenant.
+// resolve finds the request's route and, where keys are required, its tenant. The lease comes first: without one
+// the configuration may be out of date, and nothing is rejected or served by it.
 func (r *request) resolve(s *snapshot, l *lease) (refusal *response) {
 	if s == nil {
 		return noConfig.response(retryAfterUnready)
 	}
+	if !l.valid() {
+		return noLease.response(retryAfterUnready)
+	}
 	path, _, _ := strings.Cut(r.head.Target, "?")
 	if r.route = s.route(r.head.Get("Host"), path); r.route == nil {
 		return noRoute.response(0)
@@ -99,9 +103,6 @@
 	if !r.keyRequired || r.route.Anonymous {
 		return nil
 	}
-	if !l.valid() {
-		return noLease.response(retryAfterUnready)
-	}
 	scheme, key, _ := strings.Cut(r.head.Get("Authorization"), " ")
 	r.tenant, _ = s.keys.Get(hashKey(strings.TrimSpace(key)))
 	if r.tenant == nil || !strings.EqualFold(scheme, "Token") {
--- a/process/process.go
+++ b/process/process.go
@@ -178,12 +178,13 @@
 		client: p.client,
 		log:    p.log,
 		cfg: controlplane.CoreConfig{
-			Addr:   cfg.InternalAddr(),
-			Seeds:  cfg.SeedAddrs(),
-			Voters: max(minVoters, 2*cfg.Tolerance.Machines+1),
-			Conns:  p.conns,
-			Log:    p.log,
-			Seed:   p.seed,
+			Addr:         cfg.InternalAddr(),
+			Seeds:        cfg.SeedAddrs(),
+			Voters:       max(minVoters, 2*cfg.Tolerance.Machines+1),
+			Conns:        p.conns,
+			Log:          p.log,
+			Seed:         p.seed,
+			KnownMembers: p.knownMemberAddrs,
 		},
 	}
 	return p.member.open(cfg.Bootstrap)
--- a/settings/node.go
+++ b/settings/node.go
@@ -113,8 +113,8 @@
 	// ConfigApplyMs, in milliseconds, is how soon a configuration must be in force. For tools.
 	ConfigApplyMs float64 `toml:"config_apply_ms"`
 	// StrictRevocation has a tenant's key rejected no later than RevokeMs after a configuration
-	// without it: a gateway without a lease rejects requests with keys. Default: false, it goes
-	// on with the configuration that it has.
+	// without it: a gateway without a lease answers every request with 503. Default: false, it
+	// goes on with the configuration that it has.
 	StrictRevocation bool `toml:"strict_revocation"`
 	// RevokeMs, in milliseconds, is needed with StrictRevocation. Default: 0.
 	RevokeMs float64 `toml:"revoke_ms"`
