keys: an interrupted rotation is gone on with; a failed start leaves no port open

keys.Rotate, second stage: which key is new was told by its place, so a call after a loss of power swapped the order of the authorities back, and no certificate could be issued any more. The new keys are told by their files now: next.key, and next-words.key, which is new. A rotation that an earlier release began is gone on with. TestInterruptedRotationIsGoneOnWith fails on the code before ('provided PrivateKey doesn't match parent's PublicKey').

process.New closed its own listeners where a later step failed, and left the gateway's open. Gateway.Close releases them. TestPortsAreFreeAfterAFailedStart fails without it.

go test ./keys ./process ./dataplane: pass.

--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -167,10 +167,15 @@
 	_ = g.gossip.socket.Close() // nothing sends any more
 }
 
+// Close releases what New has opened, of a gateway that is not run.
+func (g *Gateway) Close() error {
+	return errors.Join(g.listener.tcp.Close(), g.readiness.listener.Close(), g.gossip.socket.Close())
+}
+
 // Ready reports whether new connections are wanted.
 func (g *Gateway) Ready() bool { return g.readiness.ready() }
 
-// HasLease reports whether requests with keys may be served now.
+// HasLease reports whether requests may be answered from the configuration now.
 func (g *Gateway) HasLease() bool { return g.lease.valid() }
 
 // ExtendLease extends the lease, which was requested at a time since the start; see Uptime.
--- a/keys/files.go
+++ b/keys/files.go
@@ -19,8 +19,10 @@
 	gossipKeyFile = "words.key" // in both: gossip keys in hexadecimal, one a line, the one in use first
 	caKeyFile     = "ca.key"    // of an authority: the key of the first certificate
 	nextCAKeyFile = "next.key"  // of an authority between the first two stages of a rotation
-	certFile      = "node.pem"  // of a machine
-	keyFile       = "node.key"  // of a machine
+	// nextGossipKeyFile has the new gossip key, of an authority between the first two stages of a rotation.
+	nextGossipKeyFile = "next-words.key"
+	certFile          = "node.pem" // of a machine
+	keyFile           = "node.key" // of a machine
 )
 
 const (
--- a/keys/golden_test.go
+++ b/keys/golden_test.go
@@ -140,6 +140,55 @@
 	expectFile(t, dir, "words.key", []byte(lines[1]+"\n"))
 }
 
+// A second stage that is interrupted after any of its writes is gone on with by the next call, and
+// comes to the same files: no key is put back behind the one that it replaces. (Before, the order
+// of the certificates was swapped back, and no certificate could be issued from then on.)
+func TestInterruptedRotationIsGoneOnWith(t *testing.T) {
+	finished := copyGolden(t, "rotating")
+	if stage, err := Rotate(finished, time.Now()); err != nil || stage != StageInUse {
+		t.Fatalf("%s, %v", stage, err)
+	}
+	files := []string{caKeyFile, caFile, gossipKeyFile}
+	for written := range len(files) + 1 {
+		dir := copyGolden(t, "rotating")
+		lines := strings.Fields(string(readGolden(t, "rotating/words.key")))
+		write(t, dir, nextGossipKeyFile, []byte(lines[1]+"\n"))
+		for _, name := range files[:written] {
+			write(t, dir, name, read(t, finished, name))
+		}
+		if stage, err := Rotate(dir, time.Now()); err != nil || stage != StageInUse {
+			t.Fatalf("after %d writes: %s, %v", written, stage, err)
+		}
+		for _, name := range files {
+			expectFile(t, dir, name, read(t, finished, name))
+		}
+		out := t.TempDir()
+		if err := Issue(dir, out, "n", net.ParseIP("10.1.0.13"), 1, time.Now()); err != nil {
+			t.Errorf("after %d writes no certificate is issued: %v", written, err)
+		}
+		if stage, err := Rotate(dir, time.Now()); err != nil || stage != StageDropped {
+			t.Fatalf("%s, %v", stage, err)
+		}
+		expectFile(t, dir, gossipKeyFile, []byte(lines[1]+"\n"))
+	}
+}
+
+func read(t *testing.T, dir, name string) []byte {
+	t.Helper()
+	data, err := readFile(dir, name)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return data
+}
+
+func write(t *testing.T, dir, name string, data []byte) {
+	t.Helper()
+	if err := writeFiles(dir, fileContent{name, data}); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Datagrams that an earlier release sealed are opened, and sealed again to the same bytes:
 // the nonce is the number of the datagram in its sender's incarnation.
 func TestGoldenSealedDatagrams(t *testing.T) {
--- a/keys/rotate.go
+++ b/keys/rotate.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"errors"
 	"fmt"
 	"io/fs"
@@ -69,7 +70,7 @@
 }
 
 // addNewKeys makes keys that are trusted beside those in use. The new CA's key is written
-// last: it marks that both files have the new keys. Where it is missing, the next call
+// last: it marks that the other files have the new keys. Where it is missing, the next call
 // drops what an interrupted one has added.
 func addNewKeys(dir string, trusted *trustedKeys, caPEM []byte, now time.Time) error {
 	ca, err := newCA(now)
@@ -83,26 +84,89 @@
 	return writeFiles(dir,
 		fileContent{caFile, append(caPEM, ca.certificate...)},
 		fileContent{gossipKeyFile, append([]byte(trusted.gossipKeys[0]+"\n"), gossipKey...)},
+		fileContent{nextGossipKeyFile, gossipKey},
 		fileContent{nextCAKeyFile, ca.key})
 }
 
-// useNewKeys puts the new keys, which are the last ones, first.
+// useNewKeys puts the new keys first. Which are new is told by the files that addNewKeys has
+// written, not by their place: a call that was interrupted may have moved some of them. The
+// new CA's key is removed before the new gossip key: it marks that this is still to be done.
 func useNewKeys(dir string, trusted *trustedKeys, nextCAKey []byte) error {
-	slices.Reverse(trusted.certificates)
-	slices.Reverse(trusted.gossipKeys)
-	err := writeFiles(dir,
+	gossipKey, err := nextGossipKey(dir, trusted, nextCAKey)
+	if err != nil {
+		return err
+	}
+	isNewCertificate := func(certificate []byte) bool { return keyFits(certificate, nextCAKey) }
+	certificates, found := movedFirst(trusted.certificates, isNewCertificate)
+	if !found {
+		return fmt.Errorf("keys: %s fits no certificate in %s", nextCAKeyFile, caFile)
+	}
+	gossipKeys, found := movedFirst(trusted.gossipKeys, func(k string) bool { return k == gossipKey })
+	if !found {
+		return fmt.Errorf("keys: the key in %s is not in %s", nextGossipKeyFile, gossipKeyFile)
+	}
+	err = writeFiles(dir,
 		fileContent{caKeyFile, nextCAKey},
-		fileContent{caFile, bytes.Join(trusted.certificates, nil)},
-		fileContent{gossipKeyFile, []byte(strings.Join(trusted.gossipKeys, "\n") + "\n")})
+		fileContent{caFile, bytes.Join(certificates, nil)},
+		fileContent{gossipKeyFile, []byte(strings.Join(gossipKeys, "\n") + "\n")})
 	if err != nil {
 		return err
 	}
-	return atomicfile.Remove(filepath.Join(dir, nextCAKeyFile))
+	if err := removeFile(dir, nextCAKeyFile); err != nil {
+		return err
+	}
+	return removeFile(dir, nextGossipKeyFile)
+}
+
+// nextGossipKey returns the new gossip key. An earlier release did not write it apart: where it
+// has begun the rotation, the new one is the last, and is written down before anything is moved.
+func nextGossipKey(dir string, trusted *trustedKeys, nextCAKey []byte) (string, error) {
+	data, err := readFile(dir, nextGossipKeyFile)
+	if err == nil {
+		return strings.TrimSpace(string(data)), nil
+	}
+	if !errors.Is(err, fs.ErrNotExist) {
+		return "", err
+	}
+	if keyFits(trusted.certificates[0], nextCAKey) {
+		return trusted.gossipKeys[0], nil // an earlier release was interrupted; each key is trusted by all
+	}
+	key := trusted.gossipKeys[len(trusted.gossipKeys)-1]
+	return key, writeFiles(dir, fileContent{nextGossipKeyFile, []byte(key + "\n")})
+}
+
+// keyFits reports whether a private key belongs to a certificate, both in PEM.
+func keyFits(certificate, key []byte) bool {
+	_, err := tls.X509KeyPair(certificate, key)
+	return err == nil
+}
+
+// movedFirst returns the elements with the first that matches before all others.
+func movedFirst[T any](elements []T, matches func(T) bool) (moved []T, found bool) {
+	i := slices.IndexFunc(elements, matches)
+	if i < 0 {
+		return elements, false
+	}
+	moved = append([]T{elements[i]}, elements[:i]...)
+	return append(moved, elements[i+1:]...), true
+}
+
+// removeFile removes a file of a folder, if it is there.
+func removeFile(dir, name string) error {
+	err := atomicfile.Remove(filepath.Join(dir, name))
+	if err != nil && !errors.Is(err, fs.ErrNotExist) {
+		return fmt.Errorf("keys: %w", err)
+	}
+	return nil
 }
 
 // dropOldKeys leaves the keys in use alone.
 func dropOldKeys(dir string, trusted *trustedKeys) error {
-	return writeFiles(dir,
+	err := writeFiles(dir,
 		fileContent{caFile, trusted.certificates[0]},
 		fileContent{gossipKeyFile, []byte(trusted.gossipKeys[0] + "\n")})
+	if err != nil {
+		return err
+	}
+	return removeFile(dir, nextGossipKeyFile) // left by an interrupted call
 }
--- a/process/process.go
+++ b/process/process.go
@@ -278,5 +278,8 @@
 			errs = append(errs, l.Close())
 		}
 	}
+	if p.gateway != nil {
+		errs = append(errs, p.gateway.Close())
+	}
 	return errors.Join(errs...)
 }
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -1,12 +1,16 @@
 package process
 
 import (
+	"log/slog"
+	"net"
 	"os"
+	"strings"
 	"testing"
 
 	"github.com/fxamacker/cbor/v2"
 
 	"example.org/elmspan/api"
+	"example.org/elmspan/settings"
 )
 
 // One process takes a configuration, serves, goes on with its settings while the file is
@@ -48,3 +52,30 @@
 		t.Errorf("%d bytes are read back of %d", len(got), len(conf))
 	}
 }
+
+// A process that can't be opened leaves no port behind. (Before, the gateway's ports stayed open.)
+func TestPortsAreFreeAfterAFailedStart(t *testing.T) {
+	t.Parallel()
+	m := newMachine(t)
+	taken, err := net.Listen("tcp", m.control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeAtEnd(t, taken)
+	options := Options{
+		SettingsPath: m.path(),
+		Tuning:       settings.DefaultTuning(),
+		Log:          slog.New(slog.DiscardHandler),
+	}
+	if _, err := New(options); err == nil || !strings.Contains(err.Error(), "control_port") {
+		t.Fatalf("opened though its control port is taken: %v", err)
+	}
+	for _, addr := range []string{m.front, m.ready} {
+		l, err := net.Listen("tcp", addr)
+		if err != nil {
+			t.Errorf("%s is still open: %v", addr, err)
+			continue
+		}
+		closeAtEnd(t, l)
+	}
+}
