--- a/cmd/elmspan-lab/core.go
+++ b/cmd/elmspan-lab/core.go
@@ -7,13 +7,14 @@
 	"example.org/elmspan/lab/controlbench"
 )
 
+// coreCmd measures the control plane.
 type coreCmd struct {
 	controlbench.Spec
 	Program string `help:"The program whose processes are measured." default:"target/elmspan" type:"existingfile"`
-	Dir     string `help:"Folder for settings, data and logs; a new one below the system's for such where left out." placeholder:"DIR"`
+	Dir     string `help:"${bench_dir}" placeholder:"DIR"`
 }
 
-// Run measures the core at a size.
+// Run measures the control plane at a size.
 func (c *coreCmd) Run(ctx context.Context) error {
 	dir, err := folder(c.Dir)
 	if err != nil {
@@ -26,10 +27,11 @@
 	return err
 }
 
+// addedCmd measures the time that a gateway adds.
 type addedCmd struct {
 	controlbench.AddedSpec
 	Program string `help:"The program whose processes are measured." default:"target/elmspan" type:"existingfile"`
-	Dir     string `help:"Folder for settings, data and logs; a new one below the system's for such where left out." placeholder:"DIR"`
+	Dir     string `help:"${bench_dir}" placeholder:"DIR"`
 }
 
 // Run measures what a gateway adds to a request.
@@ -45,7 +47,7 @@
 	return err
 }
 
-// folder is the one given, or a new one.
+// folder returns the folder that is given, or a new one.
 func folder(dir string) (string, error) {
 	if dir != "" {
 		return dir, nil
--- a/cmd/elmspan-lab/load.go
+++ b/cmd/elmspan-lab/load.go
@@ -3,14 +3,11 @@
 import (
 	"cmp"
 	"context"
-	"encoding/csv"
 	"errors"
 	"fmt"
-	"io"
 	"math/rand/v2"
 	"os"
 	"slices"
-	"strconv"
 	"sync"
 	"time"
 
@@ -20,13 +17,17 @@
 	"example.org/elmspan/lab/scenario"
 )
 
+// loadRandom makes the random numbers of a load differ from others of the same seed.
+const loadRandom = 0x10ad
+
 // Target is a running system.
 type Target struct {
-	Front []string          `help:"front_port addresses of limiters, each with --front." required:"" placeholder:"HOST:PORT"`
+	Front []string          `help:"${target_front}" required:"" placeholder:"HOST:PORT"`
 	Host  string            `help:"The Host of the requests." default:"emulator.example"`
 	Key   map[string]string `help:"Keys of tenants, as NAME=KEY." placeholder:"NAME=KEY"`
 }
 
+// loadCmd sends the requests of a day.
 type loadCmd struct {
 	Target
 	Day     string  `arg:"" help:"The day: its classes and tenants." type:"existingfile"`
@@ -35,6 +36,7 @@
 	Record  string  `help:"Write what was sent to this file, for replay." placeholder:"FILE"`
 }
 
+// replayCmd sends recorded requests.
 type replayCmd struct {
 	Target
 	Day    string  `arg:"" help:"The day: its classes." type:"existingfile"`
@@ -42,8 +44,8 @@
 	Speed  float64 `help:"So many times as fast." default:"1"`
 }
 
-// sending is one request that is due.
-type sending struct {
+// scheduledRequest is one request that is due at a time since the beginning.
+type scheduledRequest struct {
 	at     time.Duration
 	class  *scenario.Class
 	tenant string
@@ -61,36 +63,32 @@
 	if c.Seconds > 0 {
 		day.LengthS = c.Seconds
 	}
-	rng := rand.New(rand.NewPCG(day.Seed, 0x10ad))
-	var all []sending
-	for i := range day.Classes {
-		k := &day.Classes[i]
-		for at := rng.ExpFloat64() / (k.PerS * c.X); at < day.LengthS; at += rng.ExpFloat64() / (k.PerS * c.X) {
-			tenant, _ := day.DrawTenant(rng, "", 0)
-			all = append(all, sending{time.Duration(at * float64(time.Second)), k, tenant.Name})
-		}
-	}
+	requests := drawRequests(day, c.X)
 	if c.Record != "" {
-		if err := record(c.Record, all); err != nil {
+		if err := writeRecord(c.Record, requests); err != nil {
 			return err
 		}
 	}
-	return c.send(ctx, day, all)
+	return c.send(ctx, day, requests)
 }
 
-func record(path string, all []sending) error {
-	f, err := os.Create(path)
-	if err != nil {
-		return err
-	}
-	w := csv.NewWriter(f)
-	for _, s := range all {
-		w.Write([]string{strconv.FormatFloat(s.at.Seconds(), 'f', 6, 64), s.class.Name, s.tenant})
+// drawRequests draws the requests of a day at so many times its load: Poisson arrivals of each class.
+func drawRequests(day *scenario.Day, factor float64) []scheduledRequest {
+	rng := rand.New(rand.NewPCG(day.Seed, loadRandom))
+	var requests []scheduledRequest
+	for i := range day.Classes {
+		class := &day.Classes[i]
+		pause := func() float64 { return rng.ExpFloat64() / (class.PerS * factor) }
+		for at := pause(); at < day.LengthS; at += pause() {
+			tenant, _ := day.DrawTenant(rng, "", 0)
+			requests = append(requests, scheduledRequest{seconds(at), class, tenant.Name})
+		}
 	}
-	w.Flush()
-	return errors.Join(w.Error(), f.Close())
+	return requests
 }
 
+func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
+
 // Run sends what was recorded.
 func (c *replayCmd) Run(ctx context.Context) error {
 	day, err := scenario.Read(c.Day)
@@ -100,75 +98,38 @@
 	if c.Speed <= 0 {
 		return fmt.Errorf("--speed: %v: above 0", c.Speed)
 	}
-	f, err := os.Open(c.Record)
+	requests, err := readRecord(c.Record, day)
 	if err != nil {
 		return err
 	}
-	defer f.Close()
-	classes := map[string]*scenario.Class{}
-	for i := range day.Classes {
-		classes[day.Classes[i].Name] = &day.Classes[i]
-	}
-	var all []sending
-	r := csv.NewReader(f)
-	r.FieldsPerRecord = 3
-	for {
-		row, err := r.Read()
-		if err == io.EOF {
-			break
-		}
-		if err != nil {
-			return fmt.Errorf("%s: %w", c.Record, err)
-		}
-		line, _ := r.FieldPos(0)
-		at, err := strconv.ParseFloat(row[0], 64)
-		k := classes[row[1]]
-		if err != nil || at < 0 || k == nil {
-			return fmt.Errorf("%s: line %d: %q is no time and class of the day", c.Record, line, row)
-		}
-		all = append(all, sending{time.Duration(at / c.Speed * float64(time.Second)), k, row[2]})
-		day.LengthS = max(day.LengthS, at/c.Speed)
+	for i := range requests {
+		requests[i].at = time.Duration(float64(requests[i].at) / c.Speed)
+		day.LengthS = max(day.LengthS, requests[i].at.Seconds())
 	}
-	return c.send(ctx, day, all)
+	return c.send(ctx, day, requests)
 }
 
-// send sends what is due, each at its time, and reports.
-func (t *Target) send(ctx context.Context, day *scenario.Day, all []sending) error {
+// send sends each request at its time, and reports.
+func (t *Target) send(ctx context.Context, day *scenario.Day, requests []scheduledRequest) error {
 	begun := time.Now()
 	ledger := checker.New(scenario.RetryBudget{}, func() time.Duration { return time.Since(begun) })
-	tally := checker.NewCounter(day)
+	counter := checker.NewCounter(day)
 	client := emulator.NewClient(t.Host, t.Front, day.Seed)
-	defer client.Close()
+	byTime := func(a, b scheduledRequest) int { return cmp.Compare(a.at, b.at) }
+	slices.SortStableFunc(requests, byTime)
 	var tasks sync.WaitGroup
-	byTime := make(chan sending)
-	go func() {
-		defer close(byTime)
-		sortByTime(all)
-		for _, s := range all {
-			if !sleepUntil(ctx, begun.Add(s.at)) {
-				return
-			}
-			byTime <- s
+	for _, request := range requests {
+		if !backoff.Sleep(ctx, time.Until(begun.Add(request.at))) {
+			break
 		}
-	}()
-	for s := range byTime {
 		tasks.Go(func() {
 			at := time.Now()
-			status, tries := client.Send(ctx, s.class, t.Key[s.tenant])
-			tally.Add(s.class, at.Sub(begun), status, tries, time.Since(at))
+			status, tries := client.Send(ctx, request.class, t.Key[request.tenant])
+			counter.Add(request.class, at.Sub(begun), status, tries, time.Since(at))
 		})
 	}
 	tasks.Wait()
-	r := tally.Report(ledger)
-	r.Notes = append(r.Notes, "rules can't be judged from the clients' side alone: the servers are not ours")
-	if err := r.Write(os.Stdout); err != nil {
-		return err
-	}
-	return ctx.Err()
+	report := counter.Report(ledger)
+	report.Notes = append(report.Notes, "rules can't be judged from the clients' side alone: the servers are not ours")
+	return errors.Join(report.Write(os.Stdout), client.Close(), ctx.Err())
 }
-
-func sortByTime(all []sending) {
-	slices.SortStableFunc(all, func(a, b sending) int { return cmp.Compare(a.at, b.at) })
-}
-
-func sleepUntil(ctx context.Context, t time.Time) bool { return backoff.Sleep(ctx, time.Until(t)) }
--- a/cmd/elmspan-lab/pages_test.go
+++ b/cmd/elmspan-lab/pages_test.go
@@ -10,7 +10,7 @@
 
 // Every command and flag of this program that a page names is there.
 func TestPagesNameCommandsThatAreThere(t *testing.T) {
-	parser := kong.Must(&commands{}, kong.Name("elmspan-lab"))
+	parser := kong.Must(&commands{}, parserOptions()...)
 	mentions, err := pages.Read("../..")
 	if err != nil {
 		t.Fatal(err)
--- a/dataplane/limiter/downloads_test.go
+++ b/dataplane/limiter/downloads_test.go
@@ -114,3 +114,39 @@
 		}
 	}
 }
+
+// The queue of downloads is bounded: one more than it takes is refused at once, with a time to come
+// back, and those in it are granted their slots in the order in which they came.
+func TestFullQueueOfDownloadsRefuses(t *testing.T) {
+	const deadline = 1e6
+	l, _ := newDownloads(t, bytesPerSAt5Mbit)
+	download := func() *RequestState {
+		return l.StartRequest(Request{
+			Service: "s", Route: "r", Bulk: true, Idempotent: true, Buffered: true, MaxAttempts: 2,
+			DeadlineMs: deadline, TargetMs: deadline, // all of the queue would be in time
+		})
+	}
+	first := download()
+	if ok, _, _ := first.AcquireSlot(0); !ok {
+		t.Fatal("the first has to wait")
+	}
+	if m, _, _ := first.StartAttempt(0, false); m == nil {
+		t.Fatal("not sent")
+	}
+	var queued []*RequestState
+	for range maxQueuedDownloads {
+		s := download()
+		requireQueued(t, s, 1)
+		queued = append(queued, s)
+	}
+	if _, waitMs, refused := download().AcquireSlot(1); !refused || waitMs < minRetryAfterMs {
+		t.Errorf("one more than %d: refused %v, to come back in %v ms", maxQueuedDownloads, refused, waitMs)
+	}
+	first.Finish()
+	now := 10.0
+	for _, want := range queued {
+		requireGranted(t, l, now, want)
+		want.Finish()
+		now += 10
+	}
+}
--- a/lab/modelcheck/explore.go
+++ b/lab/modelcheck/explore.go
@@ -1,7 +1,7 @@
-// Package modelcheck walks all states that a small world can come to: every order of
-// its events within stated bounds. Seeds find faults that are likely; a walk finds
-// those that need five unlikely things in a row, and shows that within the bounds
-// there is none. Worlds hold the real state machines, cloned at each step.
+// Package modelcheck explores all states that a small model can reach: every order of its
+// events within stated bounds. Random simulation finds likely faults; an exhaustive exploration
+// finds those that need five unlikely events in a row, and shows that within the bounds there
+// is none. Models hold the real state machines, cloned at each step.
 package modelcheck
 
 import (
@@ -16,131 +16,137 @@
 	"github.com/cespare/xxhash/v2"
 )
 
-// State is one state of a world.
+// State is one state of a model.
 type State interface {
-	// Next calls yield for each state that one event leads to, with the event in
-	// words, until yield returns false. The state itself stays as it is.
+	// Next calls yield for each state that one event leads to, with a description of the
+	// event, until yield returns false. The state itself is not changed.
 	Next(yield func(event string, next State) bool)
-	// AppendKey adds all that the future and Check depend on. Two states with equal
-	// keys are one.
+	// AppendKey appends everything that later states and Check depend on. Two states with
+	// equal keys count as one.
 	AppendKey(b []byte) []byte
-	// Check returns what is wrong with the state, nil if nothing is.
+	// Check returns the invariant that the state violates, nil if none.
 	Check() error
 }
 
-// Report is what a walk saw.
+// Report is what an exploration saw.
 type Report struct {
-	States int64 // different ones
-	Events int64 // steps taken, those to states seen before among them
+	States int64 // distinct states
+	Events int64 // transitions, those to known states among them
 }
 
 func (r Report) String() string { return fmt.Sprintf("%d states, %d events", r.States, r.Events) }
 
-// Fault is a state that should not be, and how the world came to it.
-type Fault struct {
+// ViolationError is a state that violates an invariant, and how the model reached it.
+type ViolationError struct {
 	Err  error
-	Path []string // events, from the start
+	Path []string // events, from the initial state
 }
 
-func (f *Fault) Error() string {
+func (f *ViolationError) Error() string {
 	return fmt.Sprintf("%v, after %d events:\n  %s", f.Err, len(f.Path), strings.Join(f.Path, "\n  "))
 }
 
-func (f *Fault) Unwrap() error { return f.Err }
+func (f *ViolationError) Unwrap() error { return f.Err }
 
-// ErrBound tells that a walk has not seen all states.
-var ErrBound = errors.New("modelcheck: more states than were to be seen")
+// ErrBound means that an exploration ended before it had seen all states.
+var ErrBound = errors.New("modelcheck: more states than the bound")
 
-// shards is into how many parts the states seen are split, so that those who walk
-// seldom wait for each other.
+// shards is the number of parts of the set of known states, so that workers seldom wait for
+// each other.
 const shards = 64
 
-type walk struct {
+// exploration is one call of Explore.
+type exploration struct {
 	ctx    context.Context
 	end    context.CancelCauseFunc
-	most   int64
+	bound  int64 // of states; 0: none
 	shards [shards]struct {
 		sync.Mutex
-		seen map[uint64]struct{}
+		known map[uint64]struct{} // hashes of keys
 	}
 	states, events atomic.Int64
 	jobs           chan job
-	open           sync.WaitGroup // jobs that have not ended
+	pending        sync.WaitGroup // jobs that have not ended
 }
 
-// job is a state from which somebody goes on.
+// job is a state from which a worker continues.
 type job struct {
 	state State
-	path  []string
+	path  []string // events, from the initial state
 }
 
-// Walk goes through all states from start on, depth first, on so many goroutines.
-// It ends with a [*Fault] at the first state that should not be, with [ErrBound]
-// after so many states (0: no bound), or with the context's error. How many states
-// there are does not depend on who comes first. States are told apart by 64 bits of
-// a hash: among ten million two are taken for one with a chance of 3 in a million.
-func Walk(ctx context.Context, start State, most int64, goroutines int) (Report, error) {
+// Explore visits all states that start leads to, depth first, with so many workers. It ends with a
+// [*ViolationError] at the first state that violates an invariant, with [ErrBound] after so many
+// states (0: no bound), or with the context's error. The number of states does not depend on
+// the workers' order. States are told apart by 64 bits of a hash: among ten million, two are
+// taken for one with a probability of 3 in a million.
+func Explore(ctx context.Context, start State, bound int64, workers int) (Report, error) {
 	ctx, end := context.WithCancelCause(ctx)
 	defer end(nil)
-	w := &walk{ctx: ctx, end: end, most: most, jobs: make(chan job, goroutines)}
-	for i := range w.shards {
-		w.shards[i].seen = map[uint64]struct{}{}
+	e := &exploration{ctx: ctx, end: end, bound: bound, jobs: make(chan job, workers)}
+	for i := range e.shards {
+		e.shards[i].known = map[uint64]struct{}{}
 	}
-	w.open.Add(1)
-	w.jobs <- job{start, nil}
-	var workers sync.WaitGroup
-	for range max(1, goroutines) {
-		workers.Go(func() {
-			var key []byte
-			for j := range w.jobs {
-				w.visit(j.state, &j.path, &key)
-				w.open.Done()
-			}
-		})
+	e.pending.Add(1)
+	e.jobs <- job{start, nil}
+	var running sync.WaitGroup
+	for range max(1, workers) {
+		running.Go(e.work)
 	}
-	w.open.Wait()
-	close(w.jobs)
-	workers.Wait()
-	return Report{w.states.Load(), w.events.Load()}, context.Cause(ctx)
+	e.pending.Wait()
+	close(e.jobs)
+	running.Wait()
+	return Report{e.states.Load(), e.events.Load()}, context.Cause(ctx)
 }
 
-// fresh tells whether a state was not seen before.
-func (w *walk) fresh(h uint64) bool {
-	s := &w.shards[h%shards]
+// work takes jobs until there are none left.
+func (e *exploration) work() {
+	var key []byte
+	for j := range e.jobs {
+		e.visit(j.state, &j.path, &key)
+		e.pending.Done()
+	}
+}
+
+// isNew reports whether a state was not known before, and makes it known.
+func (e *exploration) isNew(hash uint64) bool {
+	s := &e.shards[hash%shards]
 	s.Lock()
 	defer s.Unlock()
-	if _, seen := s.seen[h]; seen {
+	if _, known := s.known[hash]; known {
 		return false
 	}
-	s.seen[h] = struct{}{}
+	s.known[hash] = struct{}{}
 	return true
 }
 
-func (w *walk) visit(s State, path *[]string, key *[]byte) {
+// visit checks a state and goes on to those that it leads to. Where a worker is idle it takes the
+// next state, else this one does. path and key are the worker's buffers.
+func (e *exploration) visit(s State, path *[]string, key *[]byte) {
 	*key = s.AppendKey((*key)[:0])
-	if !w.fresh(xxhash.Sum64(*key)) || w.ctx.Err() != nil {
+	if !e.isNew(xxhash.Sum64(*key)) || e.ctx.Err() != nil {
 		return
 	}
-	n := w.states.Add(1)
+	states := e.states.Add(1)
 	if err := s.Check(); err != nil {
-		w.end(&Fault{err, slices.Clone(*path)})
+		e.end(&ViolationError{err, slices.Clone(*path)})
 		return
 	}
-	if w.most > 0 && n > w.most {
-		w.end(ErrBound)
+	if e.bound > 0 && states > e.bound {
+		e.end(ErrBound)
 		return
 	}
 	s.Next(func(event string, next State) bool {
-		w.events.Add(1)
+		e.events.Add(1)
 		*path = append(*path, event)
-		w.open.Add(1)
+		e.pending.Add(1)
 		select {
-		case w.jobs <- job{next, slices.Clone(*path)}: // somebody has nothing to do
+		case e.jobs <- job{next, slices.Clone(*path)}:
 		default:
-			w.open.Done()
-			w.visit(next, path, key)
+			e.pending.Done()
+			e.visit(next, path, key)
 		}
 		*path = (*path)[:len(*path)-1]
-		return w.ctx.Err() == nil
+		return e.ctx.Err() == nil
 	})
 }
--- a/lab/plots/plots_test.go
+++ b/lab/plots/plots_test.go
@@ -8,9 +8,16 @@
 
 // A page holds its table and a drawing of each chart, and escapes what it is given.
 func TestPage(t *testing.T) {
-	p := Page{Title: "a <b>", Head: []string{"policy", "served"}, Rows: [][]string{{"one", "0.99"}}, Charts: []Chart{
-		{Title: "spread", X: "limiters", Y: "words", LogX: true, Lines: []Line{{"one", []Point{{10, 1, 0.5, 2}, {100, 2, 1, 3}, {0, 1, 1, 1}}}, {"none", nil}}},
-		{Title: "flat", Lines: []Line{{"two", []Point{{1, 1, 1, 1}, {2, 1, 1, 1}}}}}}}
+	withSpread := Line{"one", []Point{{10, 1, 0.5, 2}, {100, 2, 1, 3}, {0, 1, 1, 1}}}
+	p := Page{
+		Title: "a <b>",
+		Head:  []string{"policy", "served"},
+		Rows:  [][]string{{"one", "0.99"}},
+		Charts: []Chart{
+			{Title: "spread", X: "limiters", Y: "words", LogX: true, Lines: []Line{withSpread, {"none", nil}}},
+			{Title: "flat", Lines: []Line{{"two", []Point{{1, 1, 1, 1}, {2, 1, 1, 1}}}}},
+		},
+	}
 	var b bytes.Buffer
 	if err := p.Write(&b); err != nil {
 		t.Fatal(err)
--- a/raft/model/model_test.go
+++ b/raft/model/model_test.go
@@ -53,7 +53,7 @@
 	for name, bounds := range smallWorlds {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			report, err := modelcheck.Walk(t.Context(), New(bounds), 0, 2)
+			report, err := modelcheck.Explore(t.Context(), New(bounds), 0, 2)
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -70,7 +70,7 @@
 	if !found {
 		t.Skip("no -world")
 	}
-	report, err := modelcheck.Walk(t.Context(), New(bounds), 0, 4)
+	report, err := modelcheck.Explore(t.Context(), New(bounds), 0, 4)
 	t.Log(bounds, ":", report)
 	if err != nil {
 		t.Fatal(err)
@@ -78,7 +78,7 @@
 }
 
 func TestExplorationStopsAtStateLimit(t *testing.T) {
-	_, err := modelcheck.Walk(t.Context(), New(smallWorlds["elections"]), 100, 1)
+	_, err := modelcheck.Explore(t.Context(), New(smallWorlds["elections"]), 100, 1)
 	if !errors.Is(err, modelcheck.ErrBound) {
 		t.Errorf("with a limit of 100 states: %v", err)
 	}
