lab/controlbench: a file for each concern, typed phases and events, under the linter

The benchmark of the control plane had 257 and 297 line files with processes, configuration, phases and sampling in one type, anonymous functions five levels deep, and errors of closing dropped.

--- a/cmd/elmspan-lab/core.go
+++ b/cmd/elmspan-lab/core.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 
 	"example.org/elmspan/lab/controlbench"
@@ -21,10 +22,10 @@
 		return err
 	}
 	r, err := controlbench.Run(ctx, c.Spec, []string{c.Program, "gateway"}, dir)
-	if r != nil && len(r.Phases) > 0 {
-		r.Write(os.Stdout) // what was measured before it failed, too
+	if r == nil || len(r.Phases) == 0 {
+		return err
 	}
-	return err
+	return errors.Join(err, r.Write(os.Stdout)) // what was measured before it failed, too
 }
 
 // addedCmd measures the time that a gateway adds.
@@ -41,10 +42,10 @@
 		return err
 	}
 	r, err := controlbench.Added(ctx, c.AddedSpec, []string{c.Program, "gateway"}, dir)
-	if err == nil {
-		r.Write(os.Stdout)
+	if err != nil {
+		return err
 	}
-	return err
+	return r.Write(os.Stdout)
 }
 
 // folder returns the folder that is given, or a new one.
--- a/controlplane/register.go
+++ b/controlplane/register.go
@@ -46,6 +46,9 @@
 	case p.readRound == 0:
 		p.term, p.readRound = node.Term(), node.NextReadIndexRound()
 	case p.term != node.Term():
+		// Rounds are numbered through all terms, so that a later term's round would confirm the call as
+		// well: it began after the call came in. The caller asks anew all the same, as the proof of
+		// linearizability is then that of one term.
 		return unknown
 	}
 	// What is answered from what is known here must be the newest, and known by one who
--- a/lab/controlbench/added_test.go
+++ b/lab/controlbench/added_test.go
@@ -17,34 +17,9 @@
 // hundredth without an answer is reported as just that, beside a server that takes 1 ms.
 func TestAddedIsWhatTheGatewayTakes(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		front := func(takes time.Duration, refuses, silent int64) dialer {
-			var asked atomic.Int64
-			return func() (net.Conn, error) {
-				here, there := net.Pipe()
-				go func() {
-					defer there.Close()
-					for in := bufio.NewReader(there); ; {
-						h, _, err := h1.ReadWhole(in, 16<<10)
-						if err != nil {
-							return
-						}
-						n, status := asked.Add(1), "200 OK"
-						switch {
-						case silent > 0 && n%silent == 0:
-							continue
-						case refuses > 0 && n%refuses == 0:
-							status = "503 Service Unavailable"
-						}
-						time.Sleep(takes)
-						if _, err := fmt.Fprintf(there, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nContent-Length: 3\r\n\r\nyes", status, h.Get("Attempt-Id")); err != nil {
-							return
-						}
-					}
-				}()
-				return here, nil
-			}
-		}
-		r := (&run{}).compare(t.Context(), AddedSpec{PerS: 200, Seconds: 20, Seed: 1}, front(3*time.Millisecond, 10, 100), front(time.Millisecond, 0, 0))
+		gateway := &slowFront{takes: 3 * time.Millisecond, refuses: 10, silent: 100}
+		server := &slowFront{takes: time.Millisecond}
+		r := compare(t.Context(), AddedSpec{PerS: 200, Seconds: 20, Seed: 1}, gateway.dial, server.dial)
 		is := func(got, ms float64) bool { return math.Abs(got-ms) <= ms/1000 }
 		if !is(r.Through[0], 3) || !is(r.Straight[0], 1) || !is(r.Straight[2], 1) || !is(r.Through[2], 1000) {
 			t.Errorf("through %v, straight %v", r.Through, r.Straight)
@@ -54,3 +29,40 @@
 		}
 	})
 }
+
+// slowFront stands for a gateway or a server that takes some time for each request.
+type slowFront struct {
+	takes           time.Duration
+	refuses, silent int64 // every so many-th request is refused, or has no response; 0: none
+	asked           atomic.Int64
+}
+
+func (f *slowFront) dial() (net.Conn, error) {
+	here, there := net.Pipe()
+	go f.serve(there) // ends with the connection
+	return here, nil
+}
+
+func (f *slowFront) serve(conn net.Conn) {
+	defer func() { _ = conn.Close() }() // the other end may have closed it
+	in := bufio.NewReader(conn)
+	for {
+		head, _, err := h1.ReadWhole(in, maxRequestBytes)
+		if err != nil {
+			return
+		}
+		n, status := f.asked.Add(1), "200 OK"
+		switch {
+		case f.silent > 0 && n%f.silent == 0:
+			continue
+		case f.refuses > 0 && n%f.refuses == 0:
+			status = "503 Service Unavailable"
+		}
+		time.Sleep(f.takes)
+		_, err = fmt.Fprintf(conn, "HTTP/1.1 %s\r\nAttempt-Id: %s\r\nContent-Length: 3\r\n\r\nyes",
+			status, head.Get("Attempt-Id"))
+		if err != nil {
+			return
+		}
+	}
+}
--- a/lab/controlbench/platform.go
+++ b/lab/controlbench/platform.go
@@ -1,6 +1,7 @@
 package controlbench
 
 import (
+	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -14,41 +15,52 @@
 )
 
 const (
-	pageSize  = 50
-	drainsFor = 2 * time.Second
+	pageSize              = 50
+	drainTime             = 2 * time.Second // until a draining server is gone
+	platformHeaderTimeout = time.Second
+	// idHash spreads the ids of servers over their space.
+	idHash  = 2654435761
+	idSpace = 1 << 32
 )
 
-// platform is a stand-in for the list of servers.
+// platform is a stand-in for the platform's list of servers.
 type platform struct {
-	addr string
-	srv  *http.Server
-
+	addr     string
+	server   *http.Server
 	services int
-	perS     float64 // calls a second that it takes, and as many at once; others get 429
+	ratePerS float64 // calls a second that it takes, and as many at once; others get 429
 
-	mu      sync.Mutex
+	mu      sync.Mutex // guards all that follows
 	servers []api.Server
-	next    int
-	ends    map[string]time.Time // of those that drain
-	credit  float64              // calls that may come at once
-	at      time.Time
-	busy    int // calls that were turned away
+	created int                  // servers so far
+	goneAt  map[string]time.Time // of those that drain, by id
+	tokens  float64              // calls that may come at once
+	tokenAt time.Time            // tokens were counted then
 }
 
-func startPlatform(n, services int, perS float64) (*platform, error) {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+func startPlatform(servers, services int, ratePerS float64) (*platform, error) {
+	l, err := net.Listen("tcp", loopback)
 	if err != nil {
 		return nil, fmt.Errorf("controlbench: the platform: %w", err)
 	}
-	p := &platform{addr: l.Addr().String(), services: services, perS: perS, credit: perS, at: time.Now(), ends: map[string]time.Time{}}
-	for range n {
-		p.servers = append(p.servers, p.fresh())
+	p := &platform{
+		addr:     l.Addr().String(),
+		services: services,
+		ratePerS: ratePerS,
+		tokens:   ratePerS,
+		tokenAt:  time.Now(),
+		goneAt:   map[string]time.Time{},
+	}
+	for range servers {
+		p.servers = append(p.servers, p.newServer())
 	}
-	p.srv = &http.Server{Handler: http.HandlerFunc(p.members), ReadHeaderTimeout: time.Second}
-	go p.srv.Serve(l) // ends with close
+	p.server = &http.Server{Handler: http.HandlerFunc(p.listMembers), ReadHeaderTimeout: platformHeaderTimeout}
+	go func() { _ = p.server.Serve(l) }() // returns when it is closed
 	return p, nil
 }
 
+func (p *platform) close() error { return p.server.Close() }
+
 // add puts servers on the list.
 func (p *platform) add(servers []api.Server) {
 	p.mu.Lock()
@@ -56,71 +68,98 @@
 	p.servers = append(p.servers, servers...)
 }
 
-func (p *platform) close() { p.srv.Close() }
-
-// fresh is a server that was not there before.
-func (p *platform) fresh() api.Server {
-	i := p.next
-	p.next++
-	return api.Server{ID: fmt.Sprintf("i-%08x", i*2654435761%(1<<32)), Upstream: fmt.Sprint("service-", i%p.services),
-		Addr: fmt.Sprintf("10.%d.%d.%d:8080", 1+i>>16%200, i>>8%256, i%256), Zone: "z", Revision: "v1", Capacity: 2, State: "in_service"}
+// newServer is a server that was not there before. Called under the mutex, or before anyone else
+// knows the platform.
+func (p *platform) newServer() api.Server {
+	i := p.created
+	p.created++
+	return api.Server{
+		ID:       fmt.Sprintf("i-%08x", i*idHash%idSpace),
+		Upstream: serviceName(i, p.services),
+		Addr:     fmt.Sprintf("10.%d.%d.%d:8080", 1+i>>16%200, i>>8%256, i%256),
+		Zone:     "z",
+		Revision: "v1",
+		Capacity: 2,
+		State:    api.InService,
+	}
 }
 
-// replace has so many servers replaced: the new one is there, the old one drains
-// and goes.
-func (p *platform) replace(n int) {
+// replace has so many servers replaced: the new one is there, the old one drains and goes.
+func (p *platform) replace(count int) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	for i := range p.servers {
-		if s := &p.servers[i]; n > 0 && s.State != api.Draining {
-			s.State, p.ends[s.ID] = api.Draining, time.Now().Add(drainsFor)
-			n--
-			p.servers = append(p.servers, p.fresh())
+		s := &p.servers[i]
+		if count == 0 || s.State == api.Draining {
+			continue
 		}
+		s.State, p.goneAt[s.ID] = api.Draining, time.Now().Add(drainTime)
+		count--
+		p.servers = append(p.servers, p.newServer())
 	}
 }
 
-func (p *platform) members(w http.ResponseWriter, r *http.Request) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// takeToken reports whether a call is within the rate. Called under the mutex.
+func (p *platform) takeToken() bool {
 	now := time.Now()
-	p.credit, p.at = min(p.perS, p.credit+p.perS*now.Sub(p.at).Seconds()), now
-	if p.credit < 1 {
-		p.busy++
-		w.WriteHeader(http.StatusTooManyRequests)
-		return
-	}
-	p.credit--
-	at, err := strconv.Atoi(r.URL.Query().Get("page_token"))
-	if err != nil || at < 0 {
-		at = 0
+	p.tokens = min(p.ratePerS, p.tokens+p.ratePerS*now.Sub(p.tokenAt).Seconds())
+	p.tokenAt = now
+	if p.tokens < 1 {
+		return false
 	}
-	if at == 0 {
-		kept := p.servers[:0]
-		for _, s := range p.servers {
-			if end, drains := p.ends[s.ID]; drains && time.Now().After(end) {
-				delete(p.ends, s.ID)
-			} else {
-				kept = append(kept, s)
-			}
+	p.tokens--
+	return true
+}
+
+// removeGone takes the servers off the list that have drained. Called under the mutex.
+func (p *platform) removeGone() {
+	kept := p.servers[:0]
+	for _, s := range p.servers {
+		if at, drains := p.goneAt[s.ID]; drains && time.Now().After(at) {
+			delete(p.goneAt, s.ID)
+			continue
 		}
-		p.servers = kept
-	}
-	var out struct {
-		Members []api.Server `cbor:"members"`
-		Next    *string      `cbor:"next_token"`
+		kept = append(kept, s)
 	}
-	end := min(at+pageSize, len(p.servers))
-	out.Members = p.servers[min(at, end):end]
+	p.servers = kept
+}
+
+// page is one page of the list.
+type page struct {
+	Members []api.Server `cbor:"members"`
+	Next    *string      `cbor:"next_token"` // nil: it is the last
+}
+
+// pageAt is the page that begins at an index. Called under the mutex.
+func (p *platform) pageAt(begin int) page {
+	end := min(begin+pageSize, len(p.servers))
+	out := page{Members: p.servers[min(begin, end):end]}
 	if end < len(p.servers) {
 		next := strconv.Itoa(end)
 		out.Next = &next
 	}
-	data, err := cbor.Marshal(out)
+	return out
+}
+
+// listMembers answers GET /members. A token that can't be read is that of the first page.
+func (p *platform) listMembers(w http.ResponseWriter, r *http.Request) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !p.takeToken() {
+		w.WriteHeader(http.StatusTooManyRequests)
+		return
+	}
+	begin, err := strconv.Atoi(r.URL.Query().Get("page_token"))
+	begin = max(0, begin)
+	if errors.Is(err, strconv.ErrSyntax) || begin == 0 {
+		begin = 0
+		p.removeGone()
+	}
+	data, err := cbor.Marshal(p.pageAt(begin))
 	if err != nil {
 		w.WriteHeader(http.StatusInternalServerError)
 		return
 	}
 	w.Header().Set("Content-Type", "application/cbor")
-	w.Write(data) // a caller that is gone needs no answer
+	_, _ = w.Write(data) // a caller that is gone needs no answer
 }
