settings knows nothing of gossip; raft: how a member comes back, and what a partition does

The budget of gossip was computed by settings, which imported dataplane/gossip for it; gossip.Capacity has it now. raft/doc.go says in one place how a restarted member catches up and what happens in a partition.

--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -14,6 +14,7 @@
 
 	"example.org/elmspan/api"
 	"example.org/elmspan/dataplane/attempt"
+	"example.org/elmspan/dataplane/gossip"
 	"example.org/elmspan/dataplane/limiter"
 	"example.org/elmspan/dataplane/link"
 	"example.org/elmspan/internal/connpool"
@@ -112,13 +113,23 @@
 	return g, nil
 }
 
+// gossipCapacity is what the machine has, and the part of it that gossip may use.
+func gossipCapacity(cfg *settings.Node, o Options) gossip.Capacity {
+	return gossip.Capacity{
+		LinkMbps: cfg.Limits.LinkMbps,
+		LinkPart: o.Link.Gossip,
+		CPUShare: cfg.Limits.CPUShare,
+		CPUPart:  o.Link.GossipCPU,
+	}
+}
+
 // limiterConfig is the configuration of the limiter's state machine.
 func limiterConfig(cfg *settings.Node, o Options, self, incarnation uint64, downlink *link.Pacer) limiter.Config {
 	return limiter.Config{
 		Self: self, Incarnation: incarnation, Zone: cfg.Zone, Seed: o.Seed,
 		RetryRatio: cfg.Timing.RetryRatio, RetrySlack: cfg.Timing.RetrySlack,
 		LinkBytesPerSecond: downlink.BulkBytesPerS(),
-		GossipBudget:       o.Link.GossipBudget(cfg.Limits.LinkMbps, cfg.Limits.CPUShare),
+		GossipBudget:       gossipCapacity(cfg, o).Budget(),
 	}
 }
 
--- a/dataplane/gossip/budget.go
+++ b/dataplane/gossip/budget.go
@@ -12,8 +12,29 @@
 	DatagramOverhead = 28
 	// maxSavedMs is how much of the budget may be saved up for a burst, in its time.
 	maxSavedMs = 200.0
+	// messageMs is about how long a processor needs to make and send a message.
+	messageMs = 0.01
+
+	bytesPerMbit = 1e6 / 8
+	msPerSecond  = 1000
 )
 
+// Capacity is what a machine has, and the part of it that gossip may use.
+type Capacity struct {
+	LinkMbps float64 // of its link, in 10^6 bits a second; 0: not known, there is no bound
+	LinkPart float64 // from 0 to 1
+	CPUShare float64 // of its processor, in cores; 0: not known, there is no bound
+	CPUPart  float64 // from 0 to 1
+}
+
+// Budget is what gossip may use of the machine.
+func (c Capacity) Budget() Budget {
+	return Budget{
+		BytesPerS:    c.LinkMbps * bytesPerMbit * c.LinkPart,
+		MessagesPerS: c.CPUShare * msPerSecond / messageMs * c.CPUPart,
+	}
+}
+
 // Budget limits what a limiter of a large fleet sends: bytes a second, with the headers of
 // IP and UDP, and datagrams a second. A message counts by that of the two of which it takes
 // more. 0 in either: there is no limit. Mandatory messages go out all the same and are paid
@@ -27,7 +48,7 @@
 
 // costMs is how much of the budget a message takes, in time.
 func (b Budget) costMs(m *Message) float64 {
-	return 1000 * max(1/b.MessagesPerS, float64(m.EstimatedSize()+DatagramOverhead)/b.BytesPerS)
+	return msPerSecond * max(1/b.MessagesPerS, float64(m.EstimatedSize()+DatagramOverhead)/b.BytesPerS)
 }
 
 // sendDue sends the messages that are due as far as the budget goes: first the mandatory
--- a/lab/controlbench/hollow/quota.go
+++ b/lab/controlbench/hollow/quota.go
@@ -39,7 +39,9 @@
 	n := min(quotaFleet, s.Limiters)
 	fleet := make([]*limiter.Limiter, n)
 	now := 0.0
-	budget := settings.DefaultTuning().Link.GossipBudget(1000, 0.32)
+	tuning := settings.DefaultTuning().Link
+	capacity := gossip.Capacity{LinkMbps: 1000, LinkPart: tuning.Gossip, CPUShare: 0.32, CPUPart: tuning.GossipCPU}
+	budget := capacity.Budget()
 	add := func(name string, do func(i int) error) error {
 		got, err := step(name, n, 0, do)
 		out = append(out, got)
--- a/lab/simulation/node.go
+++ b/lab/simulation/node.go
@@ -57,10 +57,22 @@
 
 func (n *node) config() limiter.Config {
 	f := n.fleet
-	link := settings.DefaultTuning().Link
-	return limiter.Config{Self: n.id, Incarnation: n.incarnation<<32 | n.id>>32, Zone: n.zone, Seed: f.rng.Uint64(),
-		RetryRatio: f.day.RetryBudget.Ratio, RetrySlack: f.day.RetryBudget.Slack,
-		GossipBudget: link.GossipBudget(f.day.Network.LinkMbps, f.day.Network.CPUShare)}
+	tuning := settings.DefaultTuning().Link
+	capacity := gossip.Capacity{
+		LinkMbps: f.day.Network.LinkMbps,
+		LinkPart: tuning.Gossip,
+		CPUShare: f.day.Network.CPUShare,
+		CPUPart:  tuning.GossipCPU,
+	}
+	return limiter.Config{
+		Self:         n.id,
+		Incarnation:  n.incarnation<<32 | n.id>>32,
+		Zone:         n.zone,
+		Seed:         f.rng.Uint64(),
+		RetryRatio:   f.day.RetryBudget.Ratio,
+		RetrySlack:   f.day.RetryBudget.Slack,
+		GossipBudget: capacity.Budget(),
+	}
 }
 
 // startTimers has the policy tick and heartbeats be sent until the incarnation ends.
--- a/raft/doc.go
+++ b/raft/doc.go
@@ -12,6 +12,24 @@
 //   - read index, linearizable reads without a log entry ([Node.NextReadIndexRound]): 6.4;
 //   - pre-vote, a member that comes back unseats nobody: 9.6.
 //
+// # A member that comes back
+//
+// After a restart a member continues with what it has stored, as a follower of nobody. It learns
+// of the leader by a heartbeat, or stands for a pre-vote, which it loses where a leader is heard
+// by the others. The leader finds where the two logs match: [Node.Step] answers an append that
+// does not fit with a hint, and the leader goes back to it. From there it sends the entries that
+// are missing or, where its own log has been compacted past them, a snapshot in chunks and the
+// entries behind it. A member whose disk was lost comes back under another [ID] and as no
+// member: its host asks to be added, and it catches up in the same way before it gets a vote.
+//
+// # A partition
+//
+// In a partition the side with a majority goes on, after an election where the leader is on the
+// other. A leader without a majority steps down within an election time-out (check quorum) and
+// confirms no read index before that. Its uncommitted entries are overwritten once the partition
+// heals. Members of the minority lose their pre-votes, so that their term does not grow and
+// they unseat nobody when they come back.
+//
 // # The host
 //
 // A [Node] is a deterministic state machine. It does no I/O and has no clock and no
--- a/settings/tuning.go
+++ b/settings/tuning.go
@@ -1,10 +1,6 @@
 package settings
 
-import (
-	"time"
-
-	"example.org/elmspan/dataplane/gossip"
-)
+import "time"
 
 // TuningFileEnv is the environment variable that may hold the path of the tuning file.
 const TuningFileEnv = "ELMSPAN_TUNING_FILE"
@@ -58,18 +54,6 @@
 	GossipCPU float64 `toml:"work"`  // of the processor, for sending gossip
 }
 
-// gossipMessageMs is about how long a processor needs to make and send a gossip message.
-const gossipMessageMs = 0.01
-
-// GossipBudget is what gossip may use of a machine with a link of so many Mbit/s and a share
-// of a processor in cores. Where one of them is 0 there is no bound.
-func (t *LinkTuning) GossipBudget(linkMbps, cpuShare float64) gossip.Budget {
-	return gossip.Budget{
-		BytesPerS:    linkMbps * 1e6 / 8 * t.Gossip,
-		MessagesPerS: cpuShare * 1000 / gossipMessageMs * t.GossipCPU,
-	}
-}
-
 // ControlTuning is the access control of the operator interface.
 type ControlTuning struct {
 	Operators string  `toml:"operators"`   // path of the operators file; empty: everybody may make every call
