--- a/cmd/elmspan-lab/simulate.go
+++ b/cmd/elmspan-lab/simulate.go
@@ -49,16 +49,10 @@
 
 // readDay reads the day and changes it as the flags say.
 func (c *simulateCmd) readDay() (*scenario.Day, error) {
-	day, err := scenario.Read(c.Day)
+	day, err := scenario.ReadVaried(c.Day, c.Seed, c.Seconds)
 	if err != nil {
 		return nil, err
 	}
-	if c.Seed != 0 {
-		day.Seed = c.Seed
-	}
-	if c.Seconds > 0 {
-		day.Shorten(c.Seconds)
-	}
 	if c.Machine > 0 {
 		if err := simulation.Vary(day, "machines_per_zone", float64(c.Machine)); err != nil {
 			return nil, err
--- a/cmd/elmspan/emulate.go
+++ b/cmd/elmspan/emulate.go
@@ -29,7 +29,7 @@
 
 // Run plays the day. A broken rule is exit code 3.
 func (c *emulateCmd) Run() error {
-	day, err := c.day()
+	day, err := scenario.ReadVaried(c.Fleet, c.Seed, c.Seconds)
 	if err != nil {
 		return err
 	}
@@ -66,21 +66,6 @@
 	return nil
 }
 
-// day reads the day's file and changes it as the flags say.
-func (c *emulateCmd) day() (*scenario.Day, error) {
-	day, err := scenario.Read(c.Fleet)
-	if err != nil {
-		return nil, err
-	}
-	if c.Seed != 0 {
-		day.Seed = c.Seed
-	}
-	if c.Seconds > 0 {
-		day.Shorten(c.Seconds)
-	}
-	return day, nil
-}
-
 // gateway is the command line of the processes.
 func (c *emulateCmd) gateway() ([]string, error) {
 	program := c.Program
--- a/controlplane/core_test.go
+++ b/controlplane/core_test.go
@@ -6,6 +6,8 @@
 	"fmt"
 	"net"
 	"net/http"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"testing"
 
@@ -115,8 +117,12 @@
 		if r, err := leader.Watch(ctx, &api.WatchRequest{}); err != nil || r.Lease {
 			t.Errorf("a lease without a majority: %+v, %v", r, err)
 		}
-		if got := leader.Addrs(); len(got) != 3 {
-			t.Errorf("addresses %v", got)
+		members := leader.Status().Members
+		for _, addr := range c.addrs {
+			isAt := func(member string) bool { return strings.Contains(member, " "+addr+" ") }
+			if len(members) != 3 || !slices.ContainsFunc(members, isAt) {
+				t.Errorf("members %q, one of which is at %s", members, addr)
+			}
 		}
 	})
 }
--- a/controlplane/members.go
+++ b/controlplane/members.go
@@ -28,15 +28,6 @@
 	health voterHealth
 }
 
-// Addrs are the addresses of the core, as far as known: the seeds and the present members.
-func (m *memberManager) Addrs() []string {
-	m.mu.Lock()
-	defer m.mu.Unlock()
-	out := append(slices.Clone(m.cfg.Seeds), m.host.memberAddrs()...)
-	slices.Sort(out)
-	return slices.Compact(out)
-}
-
 // Join adds a process as a member, at first without a vote. One that is leaving is marked as such: it
 // is given no vote, and its vote goes to a standby. Status is 200, or 409 where a voter leaves
 // and there is no standby; 0 where this member doesn't lead.
--- a/controlplane/service.go
+++ b/controlplane/service.go
@@ -49,9 +49,6 @@
 	return c.members.Join(ctx, q)
 }
 
-// Addrs are the addresses of the core, as far as known: the seeds and the present members.
-func (c *Core) Addrs() []string { return c.members.Addrs() }
-
 // HandOver transfers leadership, where this member leads, as its process is about to end.
 func (c *Core) HandOver() { c.members.HandOver() }
 
--- a/dataplane/quota/pacing.go
+++ b/dataplane/quota/pacing.go
@@ -1,6 +1,10 @@
 package quota
 
-import "math"
+import (
+	"math"
+
+	"example.org/elmspan/bucket"
+)
 
 // Pacing after an exhausted bucket.
 //
@@ -80,12 +84,12 @@
 		return 0, true
 	}
 	part := p.part(float64(len(e.peers) + 1))
-	perMs := t.plan.Rate * e.currentShare(now) * part * (1 + pacingGain*t.balance/t.plan.Burst) / millisPerSecond
+	rate := t.plan.Rate * e.currentShare(now) * part * (1 + pacingGain*t.balance/t.plan.Burst)
 	limit := max(1, pacingBurst*t.plan.Burst*part)
-	p.tokens = min(limit, p.tokens+(now-p.updatedAt)*perMs)
+	p.tokens = bucket.Refill(p.tokens, (now-p.updatedAt)/millisPerSecond, rate, limit)
 	p.updatedAt = now
 	if p.tokens < 1 {
-		return (1 - p.tokens) / perMs, false
+		return millisPerSecond * bucket.Wait(p.tokens, 1, rate), false
 	}
 	p.tokens--
 	return 0, true
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -94,6 +94,22 @@
 	Copies      int     `toml:"copies"`  // so many like it, NAME-1 and on, that divide its share; 0: itself
 }
 
+// ReadVaried reads a day's file as Read does, with another seed and another length in seconds; 0: the
+// file's.
+func ReadVaried(path string, seed uint64, seconds float64) (*Day, error) {
+	day, err := Read(path)
+	if err != nil {
+		return nil, err
+	}
+	if seed != 0 {
+		day.Seed = seed
+	}
+	if seconds > 0 {
+		day.Shorten(seconds)
+	}
+	return day, nil
+}
+
 // Read reads and checks a day's file. An error names every fault in it.
 func Read(path string) (*Day, error) {
 	data, err := os.ReadFile(path)
