--- a/dataplane/fixtures_test.go
+++ b/dataplane/fixtures_test.go
@@ -85,16 +85,23 @@
 
 // newGatewayOf starts a gateway with settings of timing.
 func newGatewayOf(t testing.TB, timing settings.Timing, backends ...*backend) *Gateway {
+	t.Helper()
+	node := nodeOf("n")
+	node.Timing = timing
+	return newGatewayOn(t, node, backends...)
+}
+
+// newGatewayOn starts a gateway with a node's settings.
+func newGatewayOn(t testing.TB, node *settings.Node, backends ...*backend) *Gateway {
 	t.Helper()
 	upstream, timeoutMs := settings.DefaultTuning().Upstream, 3000.0
 	limits := api.RequestLimits{MaxHeaderBytes: 2000, MaxBodyBytes: 1 << 20}
 	if _, fake := t.(inMemory); !fake { // a busy machine's time says nothing: limits are for what hangs
 		upstream.ConnectMs, timeoutMs = inMs(hangTimeout), inMs(hangTimeout)
 		limits.HeaderTimeoutMs, limits.IdleTimeoutMs = inMs(hangTimeout), inMs(2*hangTimeout)
-		timing.RevokeMs *= 1000
+		node.Timing.RevokeMs *= 1000
 	}
-	node := nodeOf("n")
-	node.InternalPorts, node.Timing = []int{0, 9}, timing
+	node.InternalPorts = []int{0, 9}
 	options := Options{Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: upstream, Metrics: telemetry.New()}
 	g, err := New(node, options)
 	if err != nil {
@@ -142,6 +149,7 @@
 			route("/get/", api.Idempotent, 2000, 2, false),
 			route("/once/", "non_idempotent", 2000, 2, false),
 			route("/open/", api.Idempotent, 0, 1, true),
+			route("/bulk/", api.Download, 2000, 2, false),
 		},
 		Limits: limits,
 		Tenants: []api.Tenant{
