A client that leaves ends its work: requests are cancelled wherever they wait

Change: a connection has a context. Whoever reads the connection and meets its end cancels it (disconnectReader), and whatever the connection's goroutine waits for, it reads meanwhile (watchWhile): a response, its turn, a place in the pipeline, the responses that are due in a drain. Attempts of repeatable requests depend on that context, on the way to a server, while it works, and while its long response is copied. Nothing is begun for a client that has left: no attempt, retry, hedge or slot on the link. What must not run twice is not broken off once a server has it. An attempt given up so counts for the server's latency as a lost hedge does.

--- a/dataplane/balance/outcome.go
+++ b/dataplane/balance/outcome.go
@@ -15,6 +15,7 @@
 	Replaced                  // another server answers at the address
 	HedgeLost                 // given up as another attempt answered first: it took at least as long
 	ServerError               // the server ran the request and answered with a failure of its own
+	ClientGone                // given up as the client had left: it took at least as long
 )
 
 const (
@@ -45,8 +46,8 @@
 	switch r {
 	case Success:
 		latency = s.answered(now, m, tookMs)
-	case HedgeLost:
-		latency = s.hedgeLost(now, m, tookMs)
+	case HedgeLost, ClientGone:
+		latency = s.gaveUp(now, m, tookMs)
 	case Rejected:
 		s.rejected(now, m)
 	case Failure, NotSent, ServerError:
@@ -74,9 +75,9 @@
 	return latency
 }
 
-// hedgeLost takes in an attempt that was given up. Its latency is a lower bound: it counts
-// where it shows that the server is slower than was known.
-func (s *Set) hedgeLost(now float64, m *Member, tookMs float64) uint8 {
+// gaveUp takes in an attempt that was given up before its answer. Its latency is a lower
+// bound: it counts where it shows that the server is slower than was known.
+func (s *Set) gaveUp(now float64, m *Member, tookMs float64) uint8 {
 	ratio := m.service.latencyRatio(tookMs)
 	if ratio <= m.slowdown {
 		return 0
--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
@@ -23,13 +24,25 @@
 type clientConn struct {
 	listener *clientListener
 	nc       net.Conn
-	in       *bufio.Reader // of the goroutine that runs serve
+	in       *bufio.Reader // of the goroutine that runs serve; see disconnectReader
+
+	// ctx ends when the client is seen to have left, or the gateway has closed the connection: what the client asked
+	// for is of no use then.
+	ctx        context.Context
+	disconnect context.CancelFunc
 
 	mu           sync.Mutex
 	requestsRead int  // guarded by mu
 	idle         bool // guarded by mu; waits for the first byte of a request
 	closing      bool // guarded by mu; a response says that the connection closes
 	lastWritten  bool // guarded by mu; the last response was written whole
+	watchOver    bool // guarded by mu; see watchWhile
+}
+
+func newClientConn(l *clientListener, nc net.Conn) *clientConn {
+	c := &clientConn{listener: l, nc: nc}
+	c.ctx, c.disconnect = context.WithCancel(context.Background())
+	return c
 }
 
 // wakeIfIdle ends a connection that has no request in flight, for a drain.
@@ -37,24 +50,23 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if c.idle {
-		c.setReadDeadline(time.Unix(1, 0))
+		c.setReadDeadline(pastDeadline)
 	}
 }
 
-// serve reads requests and answers them until the connection ends.
+// serve reads requests and answers them until the connection ends. Whatever it waits for, it reads the connection
+// meanwhile: so it sees that the client leaves.
 func (c *clientConn) serve() {
 	c.in = readerPool.Get().(*bufio.Reader)
-	c.in.Reset(c.nc)
-	var responses sync.WaitGroup
-	defer c.finish(&responses)
-	inFlight := make(chan struct{}, maxPipelined)
+	c.in.Reset(&disconnectReader{c.nc, c.disconnect})
+	pipeline := newPipeline()
+	defer c.finish(pipeline)
 	turn := make(chan struct{}) // closed when the next request to be read may write its response
 	close(turn)
 	for first := true; ; first = false {
 		head, err := c.readHead(first)
 		if err != nil {
-			<-turn // the responses that are due go first
-			c.refuseMalformed(err)
+			c.refuseMalformed(err, turn)
 			return
 		}
 		arrived := time.Now()
@@ -66,18 +78,19 @@
 		turn = next
 		r, refusal := c.prepare(head, arrived, mine)
 		if refusal == nil && r.stream == nil && r.route.IsIdempotent() && !head.ClosesConnection() {
-			inFlight <- struct{}{}
-			responses.Go(func() {
+			if !pipeline.tryEnter() {
+				c.watchWhile(pipeline.enter)
+			}
+			pipeline.run(func() {
 				c.answer(r, nil, mine, sequence)
 				close(next)
-				<-inFlight
 			})
 			continue
 		}
 		if refusal == nil && !r.route.IsIdempotent() && !c.waitForTurn(mine) {
 			return
 		}
-		closes := c.answer(r, refusal, mine, sequence)
+		closes := c.answerAlone(r, refusal, mine, sequence)
 		close(next)
 		if closes {
 			return
@@ -85,10 +98,35 @@
 	}
 }
 
+// answerAlone answers a request behind which none is read meanwhile.
+func (c *clientConn) answerAlone(r *request, refusal *response, mine <-chan struct{}, sequence int) (closes bool) {
+	if refusal != nil {
+		c.await(mine)
+		return c.answer(r, refusal, mine, sequence)
+	}
+	answer := func() { closes = c.answer(r, nil, mine, sequence) }
+	if r.stream == nil {
+		c.watchWhile(answer)
+		return closes
+	}
+	// The body is read by those who send it on, and the end of the connection is met there.
+	finished := make(chan struct{})
+	go func() { defer close(finished); answer() }()
+	select {
+	case <-finished:
+	case <-r.bodyRead:
+		c.await(finished)
+	}
+	return closes
+}
+
 // finish waits for the responses that are due, then lets the connection go. Where its last response was written, it
 // reads on for the linger time: see closeAfterLast.
-func (c *clientConn) finish(responses *sync.WaitGroup) {
-	responses.Wait()
+func (c *clientConn) finish(pipeline *pipeline) {
+	if !pipeline.empty() {
+		c.watchWhile(pipeline.responses.Wait)
+	}
+	c.disconnect()
 	c.in.Reset(nil)
 	readerPool.Put(c.in)
 	if c.lastWritten {
@@ -115,10 +153,10 @@
 // the connection ends with a response before, the requests behind that count as not read, and the client sends them
 // again (RFC 9112, 9.3.2).
 func (c *clientConn) waitForTurn(mine <-chan struct{}) bool {
-	<-mine
+	c.await(mine)
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.closing
+	return !c.closing && !c.disconnected()
 }
 
 // readHead waits for a request and reads its head. The error is io.EOF where no request has begun, and an [h1.Error]
@@ -162,12 +200,13 @@
 	return err
 }
 
-// refuseMalformed answers a head that can't be read, and ends the connection.
-func (c *clientConn) refuseMalformed(err error) {
+// refuseMalformed answers a head that can't be read when its turn has come, and ends the connection.
+func (c *clientConn) refuseMalformed(err error, mine <-chan struct{}) {
 	var malformed *h1.Error
 	if !errors.As(err, &malformed) {
 		return
 	}
+	c.await(mine) // the responses that are due go first
 	c.listener.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "error", err)
 	resp := &response{status: malformed.Status, text: malformed.Reason, closes: true}
 	if c.write(resp, nil, time.Now().Add(c.listener.writeTimeout)) == nil {
@@ -181,13 +220,16 @@
 	resp := refusal
 	if resp == nil {
 		resp = c.listener.forwarder.forward(r)
+		if r.cancelable() {
+			resp.interruptOn(c.ctx)
+		}
 	}
 	defer resp.release()
 	defer c.listener.forwarder.finish(r)
 	c.listener.report(r, resp)
 	<-mine
-	if c.decideClose(r, resp, sequence) {
-		return true
+	if c.decideClose(r, resp, sequence) || resp.reason == clientGone.code {
+		return c.closed()
 	}
 	err := c.write(resp, r.head, c.writeDeadline(r, resp))
 	if err == nil && !resp.closes {
@@ -204,6 +246,14 @@
 	return true
 }
 
+// closed notes that the connection ends without a further response.
+func (c *clientConn) closed() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.closing = true
+	return true
+}
+
 // decideClose decides whether the response says that the connection closes. It reports true where a response before
 // has ended the connection: this one is not written.
 func (c *clientConn) decideClose(r *request, resp *response, sequence int) (ended bool) {
--- a/dataplane/clientconn_test.go
+++ b/dataplane/clientconn_test.go
@@ -198,7 +198,8 @@
 
 // Many clients at once, some of whom reset their connection in the middle or close half
 // of it, before servers that do everything: each answer is to its own request, each
-// filing runs once at most, and what is refused has not run.
+// filing runs once at most, and what is refused has not run. Who has closed half counts as
+// gone: it need not be answered, but its connection ends within the time of its requests.
 func TestResponsesStayWithTheirClients(t *testing.T) {
 	t.Parallel()
 	inFakeTime(t, func(t testing.TB) {
@@ -269,6 +270,7 @@
 	broken    func(format string, args ...any)
 	ids       []string
 	truncates bool // a response may end early
+	left      bool // the client has closed its connection in one direction
 }
 
 const conversationBudget = 300 * time.Millisecond
@@ -293,15 +295,13 @@
 		}
 		return 0
 	case 1:
+		v.left = true
 		closeWrite(c.Conn)
 	}
 	for _, id := range v.ids {
 		h, got, err := c.answer()
 		if h == nil || err != nil {
-			// After the budget it was cut off because its time was up, as it must be.
-			if !v.truncates && time.Since(sent) < conversationBudget {
-				v.broken("%s: %v", id, err)
-			}
+			v.checkEnd(id, err, time.Since(sent))
 			return answers
 		}
 		answers++
@@ -316,6 +316,18 @@
 	return answers
 }
 
+// checkEnd holds the end of a connection on which a response is due against the invariants.
+func (v *conversation) checkEnd(id string, err error, after time.Duration) {
+	switch {
+	case v.left:
+		if after > conversationBudget {
+			v.broken("%s: its client has left, and the connection goes on for %v", id, after)
+		}
+	case !v.truncates && after < conversationBudget: // later it was cut off because its time was up, as it must be
+		v.broken("%s: %v", id, err)
+	}
+}
+
 // request draws what servers do with the next request, and returns it.
 func (v *conversation) request(i int) string {
 	sc := &script{}
--- a/dataplane/fixtures_test.go
+++ b/dataplane/fixtures_test.go
@@ -102,7 +102,10 @@
 		node.Timing.RevokeMs *= 1000
 	}
 	node.InternalPorts = []int{0, 9}
-	options := Options{Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: upstream, Metrics: telemetry.New()}
+	options := Options{
+		Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: upstream, Link: settings.DefaultTuning().Link,
+		Metrics: telemetry.New(),
+	}
 	g, err := New(node, options)
 	if err != nil {
 		t.Fatal(err)
--- a/dataplane/isolation_test.go
+++ b/dataplane/isolation_test.go
@@ -115,6 +115,7 @@
 	c.Conn = givenUp{tcp, cancel}
 	fields := []h1.Field{{Name: "Host", Value: "h"}, {Name: "Attempt-Id", Value: "a1"}}
 	r := &request{
+		ctx:      context.Background(),
 		head:     &h1.Head{Method: "GET", Target: "/get/", Fields: fields},
 		route:    g.router.current().route("h", "/get/"),
 		deadline: time.Now().Add(hangTimeout),
--- a/dataplane/lifecycle.go
+++ b/dataplane/lifecycle.go
@@ -63,21 +63,28 @@
 	defer t.Stop()
 	select {
 	case <-l.granted:
+		return nil
 	case <-t.C:
-		f.guarded.mu.Lock()
-		delete(f.waiting, l.state)
-		f.guarded.mu.Unlock()
+	case <-l.request.ctx.Done():
+		refusal = clientGone.response(0)
 	}
-	return nil
+	f.guarded.mu.Lock()
+	delete(f.waiting, l.state)
+	f.guarded.mu.Unlock()
+	return refusal
 }
 
 // startAttempt sends the request to one more server, if there is one for it. A response that is returned is final.
+// Nothing is sent for a client that has left.
 func (l *lifecycle) startAttempt(hedge bool) (started bool, refusal *response) {
+	if l.request.clientLeft() {
+		return false, clientGone.response(0)
+	}
 	at, refusal := l.chooseServer(hedge)
 	if at == nil {
 		return false, refusal
 	}
-	at.ctx, at.cancel = context.WithCancel(context.Background())
+	at.ctx, at.cancel = context.WithCancel(l.request.attemptContext())
 	l.running = append(l.running, at)
 	if l.state.AllowsHedge() {
 		go l.runAttempt(at) // ends by the request's deadline
@@ -114,6 +121,7 @@
 // runAttempt carries an attempt out and reports its end to the limiter, then to the lifecycle.
 func (l *lifecycle) runAttempt(at *upstreamAttempt) {
 	f := l.forwarder
+	defer at.cancel() // what it has brought doesn't depend on its context any more
 	at.attemptOutcome = attemptOutcome{result: balance.NotSent}
 	if at.lateAfter > 0 {
 		late := time.AfterFunc(at.lateAfter, func() {
@@ -169,6 +177,8 @@
 	}
 	for len(l.running) > 0 {
 		select {
+		case <-l.clientLeaves():
+			return clientGone.response(0)
 		case at := <-l.ended:
 			l.remove(at)
 			if final := l.afterAttempt(at); final != nil {
@@ -187,6 +197,14 @@
 	return l.ownResponse()
 }
 
+// clientLeaves returns a channel that is closed when the client leaves, nil where the request goes on all the same.
+func (l *lifecycle) clientLeaves() <-chan struct{} {
+	if l.request.cancelable() {
+		return l.request.ctx.Done()
+	}
+	return nil
+}
+
 // ownResponse is the gateway's own response where no server's is of use.
 func (l *lifecycle) ownResponse() *response {
 	switch l.state.FinalStatus(l.forwarder.clock.nowMs()) {
--- a/dataplane/listener.go
+++ b/dataplane/listener.go
@@ -71,7 +71,7 @@
 			time.Sleep(acceptBackoff)
 			continue
 		}
-		c := &clientConn{listener: l, nc: nc}
+		c := newClientConn(l, nc)
 		l.mu.Lock()
 		l.conns[c] = struct{}{}
 		l.mu.Unlock()
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"context"
 	"errors"
 	"io"
 	"strconv"
@@ -25,6 +26,7 @@
 
 // request is one attempt of a client, as read.
 type request struct {
+	ctx         context.Context // ends when the client has left; see clientConn.ctx
 	head        *h1.Head
 	route       *route
 	tenant      *tenant // nil: of nobody
@@ -32,17 +34,18 @@
 	keyRequired bool // the configuration has keys: they are not passed on
 	arrived     time.Time
 	deadline    time.Time
-	body        []byte   // held, in full; or the first bytes of a stream
-	stream      *h1.Body // or too long to be held
-	length      int64    // of the stream; h1.Chunked where it isn't known
-	started     bool     // a part of the stream was sent to a server
+	body        []byte        // held, in full; or the first bytes of a stream
+	stream      *h1.Body      // or too long to be held
+	length      int64         // of the stream; h1.Chunked where it isn't known
+	started     bool          // a part of the stream was sent to a server
+	bodyRead    chan struct{} // closed when the stream was read whole
 	lifecycle   *limiter.RequestState
 }
 
 // prepare validates a request, finds its route and tenant, sets its deadline and reads its body. A response that is
 // returned refuses the request. What is written before the response waits for mine, the request's turn.
 func (c *clientConn) prepare(head *h1.Head, arrived time.Time, mine <-chan struct{}) (*request, *response) {
-	r := &request{head: head, arrived: arrived}
+	r := &request{ctx: c.ctx, head: head, arrived: arrived}
 	framing, refusal := validateHead(head)
 	if refusal != nil {
 		return r, refusal
@@ -128,7 +131,7 @@
 // sendContinue asks a client that waits for it to send the body, never in the middle of a response before.
 func (c *clientConn) sendContinue(head *h1.Head, mine <-chan struct{}) {
 	if head.HasToken("Expect", "100-continue") && !head.HTTP10 && c.in.Buffered() == 0 {
-		<-mine
+		c.await(mine)
 		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n") // where it fails, reading the body does too
 	}
 }
@@ -136,7 +139,7 @@
 // readBody reads the body where it is short enough to be held, so that another server can be sent it too.
 func (r *request) readBody(body *h1.Body, framing int64) (refusal *response) {
 	if framing > maxHeldBody {
-		r.stream, r.length = body, framing
+		r.streamBody(body, framing)
 		return nil
 	}
 	var err error
@@ -144,7 +147,7 @@
 		r.body = make([]byte, framing)
 		_, err = io.ReadFull(body, r.body)
 	} else if r.body, err = io.ReadAll(io.LimitReader(body, maxHeldBody+1)); err == nil && len(r.body) > maxHeldBody {
-		r.stream, r.length = body, h1.Chunked
+		r.streamBody(body, h1.Chunked)
 	}
 	if err == nil {
 		return nil
@@ -156,6 +159,26 @@
 	return refuseMalformed(408, "the body did not come in time")
 }
 
+// streamBody has the body, or what follows on the bytes that are held, sent on as it comes.
+func (r *request) streamBody(body *h1.Body, length int64) {
+	r.stream, r.length, r.bodyRead = body, length, make(chan struct{})
+}
+
+// clientLeft reports whether the client was seen to have left.
+func (r *request) clientLeft() bool { return r.ctx.Err() != nil }
+
+// cancelable reports whether the request is given up at its server once its client has left. One that must not run
+// twice is not: nobody could tell whether it was done.
+func (r *request) cancelable() bool { return r.route.IsIdempotent() }
+
+// attemptContext is the context that attempts at servers depend on.
+func (r *request) attemptContext() context.Context {
+	if r.cancelable() {
+		return r.ctx
+	}
+	return context.WithoutCancel(r.ctx)
+}
+
 // skipBody reads past the body of a refused request, if it is short: the connection can go on then.
 func (c *clientConn) skipBody(r *request, framing int64, refusal *response) {
 	switch {
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -47,14 +47,25 @@
 	length int64    // of all; h1.Chunked where it isn't known, h1.UntilClose where nothing is said of it
 
 	free func(whole bool) // lets go of the connection to the server; nil: there is none
+	cut  func()           // closes it, where rest is read from it
+	stop func() bool      // takes back what interruptOn has set; nil: nothing
+}
+
+// interruptOn has the end of a context close the connection to the server, if the rest of the body comes from it.
+func (resp *response) interruptOn(ctx context.Context) {
+	if resp.rest != nil && resp.cut != nil {
+		resp.stop = context.AfterFunc(ctx, resp.cut)
+	}
 }
 
 // release gives back the connection to the server. It may be called more than once.
 func (resp *response) release() {
-	if resp.free != nil {
-		resp.free(resp.rest == nil || resp.rest.Done())
-		resp.free = nil
+	if resp.free == nil {
+		return
 	}
+	interrupted := resp.stop != nil && !resp.stop() // the connection is closed, or will be: nobody else may have it
+	resp.free(!interrupted && (resp.rest == nil || resp.rest.Done()))
+	resp.free = nil
 }
 
 // endsWithConnection reports whether the end of the connection ends the body, as its client knows no chunks
--- a/dataplane/roundtrip.go
+++ b/dataplane/roundtrip.go
@@ -45,7 +45,7 @@
 			if o.response != nil {
 				o.response.release()
 			}
-			return attemptOutcome{result: balance.HedgeLost, mayHaveRun: true}
+			return attemptOutcome{result: r.cancelledResult(), mayHaveRun: true}
 		}
 		// Only now is it certain that a cancellation closes no connection that another request has.
 		switch streams := o.response != nil && o.response.rest != nil; {
@@ -61,6 +61,14 @@
 	}
 }
 
+// cancelledResult is how an attempt ended that was cancelled.
+func (r *request) cancelledResult() balance.Result {
+	if r.clientLeft() {
+		return balance.ClientGone
+	}
+	return balance.HedgeLost
+}
+
 // connect takes a kept connection to a server, or makes a new one. A request that must not run twice gets a kept one
 // only if it was used a short time ago. Where there is none, it returns nil and how the attempt ended.
 func (f *forwarder) connect(r *request, at *upstreamAttempt, host *connpool.Host[string]) (
@@ -170,7 +178,7 @@
 		}
 	}
 	e.Response = attempt.Streaming
-	resp.rest, resp.free = body, f.releaseFunc(c, e)
+	resp.rest, resp.free, resp.cut = body, f.releaseFunc(c, e), c.Close
 	return f.classify(e, resp)
 }
 
--- a/dataplane/upstreamrequest.go
+++ b/dataplane/upstreamrequest.go
@@ -63,6 +63,7 @@
 			return err
 		}
 	}
+	defer r.noteBodyRead()
 	for !r.stream.Done() {
 		n, err := r.stream.Read(buf)
 		if n > 0 {
@@ -79,6 +80,13 @@
 	return s.end()
 }
 
+// noteBodyRead notes whether the stream was read whole. It is sent once only, so that this is called once.
+func (r *request) noteBodyRead() {
+	if r.stream.Done() {
+		close(r.bodyRead)
+	}
+}
+
 // bodyFault returns what is wrong with a client's body, by the error of reading it; nil at its end.
 func bodyFault(err error) error {
 	if errors.As(err, new(*h1.Error)) {
