--- a/cmd/elmspan/help.go
+++ b/cmd/elmspan/help.go
@@ -11,6 +11,8 @@
 		".json). Names each fault in a line.",
 	"commands_emulate": "Start a fleet on loopback with stand-ins of all it meets, play a day and report. " +
 		"Example: elmspan emulate docs/fleet.toml",
+	"commands_soak": "Play days drawn by seeds on which signals, restarts, changes, bad servers and leaving " +
+		"clients overlap, with real processes on loopback. Example: elmspan soak --seeds 50",
 	"commands_state": "Export what the core agrees on, begin a lost core from it, and look into a data " +
 		"folder.",
 	"configcmd_diff": "Show in which routes, services and tenants a file differs from the newest " +
@@ -34,6 +36,10 @@
 		"machine's folder anew.",
 	"operatorsadd_file": "The file that control.operators of the tuning file names; it is made where there is " +
 		"none.",
+	"soakcmd_dir": "Folder for a folder of each day; those of days on which nothing broke are removed. A new " +
+		"one below the system's for such where left out.",
+	"soakcmd_first":    "The first seed; the others follow it.",
+	"soakcmd_machines": "Processes of a day: 3 to 300, by threes. Mind the memory: about 40 MB each.",
 	"statecmd_check": "Read a data folder or an export and say what is in it. The process must not be " +
 		"running.",
 	"statecmd_export": "Write all that the core agrees on to one file, which a lost core can be begun from " +
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -22,6 +22,7 @@
 	Status  statusCmd  `cmd:"" help:"Show what a running process knows."`
 	Explain explainCmd `cmd:"" help:"Tell the path of one request through all processes, from their logs."`
 	Emulate emulateCmd `cmd:"" help:"${commands_emulate}"`
+	Soak    soakCmd    `cmd:"" help:"${commands_soak}"`
 	Keys    keysCmd    `cmd:"" help:"Make and change the keys by which the system's own processes know each other."`
 	Version versionCmd `cmd:"" help:"Print the version."`
 
--- /dev/null
+++ b/cmd/elmspan/soak.go
@@ -0,0 +1,77 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"example.org/elmspan/lab/soak"
+)
+
+// maxSoakMachines keeps a soak within a few hundred processes.
+const maxSoakMachines = 300
+
+type soakCmd struct {
+	First    uint64  `help:"${soakcmd_first}" default:"1"`
+	Seeds    int     `help:"How many seeds are played, one after the other." default:"50"`
+	Seconds  float64 `help:"Length of a day's traffic." default:"20"`
+	Machines int     `help:"${soakcmd_machines}" default:"9"`
+	Dir      string  `help:"${soakcmd_dir}" placeholder:"DIR"`
+	Program  string  `help:"${emulatecmd_program}" type:"existingfile" placeholder:"PROGRAM"`
+	Debug    bool    `help:"Have the processes log all they do."`
+	Verbose  bool    `help:"Show the progress of each day."`
+}
+
+// Run plays the days. A broken rule is exit code 3, after all have been played.
+func (c *soakCmd) Run() error {
+	if c.Machines < 1 || c.Machines > maxSoakMachines {
+		return fmt.Errorf("--machines: %d: from 1 to %d", c.Machines, maxSoakMachines)
+	}
+	program, err := (&emulateCmd{Program: c.Program, Debug: c.Debug}).gateway()
+	if err != nil {
+		return err
+	}
+	if c.Dir == "" {
+		if c.Dir, err = os.MkdirTemp("", "elmspan-soak-"); err != nil {
+			return err
+		}
+	}
+	runner := &soak.Runner{
+		Program: program,
+		Dir:     c.Dir,
+		Out:     io.Discard,
+		Shape:   soak.Shape{Machines: c.Machines, LengthS: c.Seconds},
+	}
+	if c.Verbose {
+		runner.Out = os.Stderr
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	defer stop()
+	return c.play(ctx, runner)
+}
+
+// play plays all seeds and prints a line on each, and more on those that broke something.
+func (c *soakCmd) play(ctx context.Context, runner *soak.Runner) error {
+	broken := 0
+	for i := range c.Seeds {
+		result := runner.Run(ctx, c.First+uint64(i))
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+		if err := result.Write(os.Stdout); err != nil {
+			return err
+		}
+		if !result.Passed() {
+			broken++
+		}
+	}
+	fmt.Printf("%d seeds from %d on, %d machines, %.0f s: %d broke something\n",
+		c.Seeds, c.First, c.Machines, c.Seconds, broken)
+	if broken > 0 {
+		return errRule
+	}
+	return nil
+}
--- /dev/null
+++ b/lab/checker/connections.go
@@ -0,0 +1,249 @@
+package checker
+
+import (
+	"net/http"
+	"time"
+)
+
+// Rules on the ends of connections.
+const (
+	ruleGone   = "GONE"   // work went on for clients that had left
+	ruleLost   = "LOST"   // a limiter ended a connection without the answer that was due on it
+	ruleDenied = "DENIED" // proper requests got a 4xx of the limiter's own
+)
+
+// Figures of these rules.
+const (
+	// GoneMs is how long after its client has left a request may still come to a server, or be worked on there.
+	GoneMs = 500
+	// ContactMs is how long after a disturbance a machine counts as out of touch.
+	ContactMs = 4000
+	// GraceMs is the time from SIGTERM to SIGKILL.
+	GraceMs = 6000
+	// drainOpenMs: a request that is sent later than this after SIGTERM may be cut at the end of the grace period ...
+	drainOpenMs = 3000
+	// ... whose last sixth begins here.
+	lastSixthMs = GraceMs - GraceMs/6
+
+	fewRequests   = 3   // that rules with a share or a number leave uncounted
+	goneShare     = 4.0 // one in so many runs may go on
+	fewDenied     = 5
+	deniedPerSent = 500
+)
+
+// span is a time from and to.
+type span struct{ from, to time.Duration }
+
+// overlaps reports whether two spans have a moment in common.
+func (s span) overlaps(o span) bool { return s.from <= o.to && o.from <= s.to }
+
+// machineLog is what was done to a machine.
+type machineLog struct {
+	disturbed  []span          // kills and freezes, with the time until it is in touch again
+	terminated []time.Duration // when it got SIGTERM
+}
+
+// Disturbed notes that a machine is killed or stands still for a time from now on: rules with a bound don't hold for
+// it then and for [ContactMs] after.
+func (l *Log) Disturbed(machine string, length time.Duration) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	from := l.clock()
+	m := l.machine(machine)
+	m.disturbed = append(m.disturbed, span{from, from + length + ContactMs*time.Millisecond})
+}
+
+// Terminated notes that a machine's process gets SIGTERM now.
+func (l *Log) Terminated(machine string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.machine(machine)
+	m.terminated = append(m.terminated, l.clock())
+}
+
+// machine returns what is noted of a machine. Called under the mutex.
+func (l *Log) machine(name string) *machineLog {
+	m := l.machines[name]
+	if m == nil {
+		m = &machineLog{}
+		l.machines[name] = m
+	}
+	return m
+}
+
+// Left notes that a client closes its connection now, without having had an answer.
+func (l *Log) Left(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id].left = l.clock()
+}
+
+// Cut notes that the limiter ended the connection on which an answer was due.
+func (l *Log) Cut(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id].cut = l.clock()
+}
+
+// ServerFailed notes that a server broke off, or never answers, an attempt: what becomes of it is not the limiter's
+// fault.
+func (l *Log) ServerFailed(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if a := l.sent[id]; a != nil {
+		a.serverFailed = true
+	}
+}
+
+// HasArrived reports whether an attempt came to a server.
+func (l *Log) HasArrived(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.arrivals[id]) > 0
+}
+
+// RunEnded notes that a server has ended its work on a request, or dropped it.
+func (l *Log) RunEnded(id, member string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	runs := l.runs[id]
+	for i := range runs {
+		if runs[i].Member == member && runs[i].ended == 0 {
+			runs[i].ended = l.clock()
+			return
+		}
+	}
+}
+
+// Ends counts attempts by how their connections ended, and what was judged of them.
+type Ends struct {
+	Left        int // clients that left without an answer, at machines in touch
+	Lasting     int // repeatable runs that would have lasted past the bound after their clients had left
+	WentOn      int // and that did
+	ArrivedLate int // requests that came to a server after that bound
+	Cut         int // connections that limiters ended without an answer
+	Lost        int // of these, requests that a sound server had
+	Denied      int // proper requests that got a 4xx of the limiter's own
+}
+
+// checkConnections checks the rules on the ends of connections. Called under the mutex.
+func (l *Log) checkConnections() {
+	e := &l.ends
+	for id, a := range l.sent {
+		l.countEnd(e, id, a)
+	}
+	if e.ArrivedLate > fewRequests {
+		l.violation(ruleGone, "%d requests came to a server over %d ms after their clients had left",
+			e.ArrivedLate, GoneMs)
+	}
+	if e.WentOn > fewRequests && goneShare*float64(e.WentOn) > float64(e.Lasting) {
+		l.violation(ruleGone, "%d of %d runs went on over %d ms after their clients had left",
+			e.WentOn, e.Lasting, GoneMs)
+	}
+	if e.Lost > fewRequests {
+		l.violation(ruleLost, "%d requests were cut by limiters without an answer, after they had come to a server",
+			e.Lost)
+	}
+	if e.Denied > fewDenied+len(l.sent)/deniedPerSent {
+		l.violation(ruleDenied, "%d of %d proper requests were ended with a 4xx, by status: %v",
+			e.Denied, len(l.sent), l.statuses())
+	}
+}
+
+// statuses counts the attempts that were denied by their status. Called under the mutex.
+func (l *Log) statuses() map[int]int {
+	count := map[int]int{}
+	for _, a := range l.sent {
+		if isDenial(a.status) {
+			count[a.status]++
+		}
+	}
+	return count
+}
+
+// countEnd counts how an attempt ended. Called under the mutex.
+func (l *Log) countEnd(e *Ends, id string, a *Attempt) {
+	if a.left > 0 && l.inTouch(a.Machine, span{a.left, a.left + GoneMs*time.Millisecond}) {
+		e.Left++
+		e.addLeft(a, l.arrivals[id], l.runs[id])
+	}
+	if a.cut > 0 {
+		e.Cut++
+	}
+	if l.isLost(id, a) {
+		e.Lost++
+		if l.terminating(a) { // planned work: none may be lost
+			l.violation(ruleLost, "%s (%s) was cut at %.3f s, while %s drained",
+				id, a.Class.Name, a.cut.Seconds(), a.Machine)
+		}
+	}
+	if isDenial(a.status) {
+		e.Denied++
+	}
+}
+
+// inTouch reports whether a machine was in touch for all of a span. Called under the mutex.
+func (l *Log) inTouch(machine string, s span) bool {
+	for _, d := range l.machine(machine).disturbed {
+		if d.overlaps(s) {
+			return false
+		}
+	}
+	return true
+}
+
+// isLost reports whether a limiter in touch cut a request that a sound server had. Called under the mutex.
+func (l *Log) isLost(id string, a *Attempt) bool {
+	if a.cut == 0 || a.serverFailed || len(l.arrivals[id]) == 0 || !l.inTouch(a.Machine, span{a.at, a.cut}) {
+		return false
+	}
+	for _, at := range l.machine(a.Machine).terminated {
+		inLastSixth := a.cut-at >= lastSixthMs*time.Millisecond && a.cut-at <= (GraceMs+1000)*time.Millisecond
+		if inLastSixth && a.at-at <= drainOpenMs*time.Millisecond {
+			return false
+		}
+	}
+	return true
+}
+
+// terminating reports whether an attempt was cut between SIGTERM and 1 s after the grace period. Called under the
+// mutex.
+func (l *Log) terminating(a *Attempt) bool {
+	for _, at := range l.machine(a.Machine).terminated {
+		if a.cut >= at && a.cut-at <= (GraceMs+1000)*time.Millisecond {
+			return true
+		}
+	}
+	return false
+}
+
+// isDenial reports whether a status ends a proper request for good.
+func isDenial(status int) bool {
+	switch status {
+	case http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests:
+		return false
+	}
+	return status >= 300 && status < 500
+}
+
+// addLeft counts what was done for a client that had left.
+func (e *Ends) addLeft(a *Attempt, arrivals []time.Duration, runs []Run) {
+	bound := a.left + GoneMs*time.Millisecond
+	for _, at := range arrivals {
+		if at > bound {
+			e.ArrivedLate++
+		}
+	}
+	if !a.Class.Idempotent() {
+		return
+	}
+	for _, run := range runs {
+		if run.at+run.Work <= bound {
+			continue
+		}
+		e.Lasting++
+		if run.ended == 0 || run.ended > bound {
+			e.WentOn++
+		}
+	}
+}
--- /dev/null
+++ b/lab/checker/connections_test.go
@@ -0,0 +1,133 @@
+package checker
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"example.org/elmspan/lab/scenario"
+)
+
+// day is a log whose clock is set by hand.
+type day struct {
+	*Log
+	now time.Duration
+}
+
+func newDay() *day {
+	d := &day{now: time.Minute}
+	d.Log = New(scenario.RetryBudget{}, func() time.Duration { return d.now })
+	return d
+}
+
+// at has something happen so many milliseconds after the minute that the day begins with.
+func (d *day) at(ms int, happens func()) {
+	d.now = time.Minute + time.Duration(ms)*time.Millisecond
+	happens()
+}
+
+// worked has clients leave machine m after 100 ms, while a server has work for them: for 2 s, unless it is dropped.
+func (d *day) worked(class *scenario.Class, clients int, dropped func(client int) bool) {
+	for i := range clients {
+		id := fmt.Sprint(class.Name, i)
+		d.at(0, func() {
+			d.Sent(id, &Attempt{Class: class, Machine: "m"})
+			d.Arrived(id, class.Service)
+			d.Ran(id, Run{Service: class.Service, Member: "s", Work: 2 * time.Second}, false)
+		})
+		d.at(100, func() { d.Left(id) })
+		end := 2000
+		if dropped(i) {
+			end = 110
+		}
+		d.at(end, func() { d.RunEnded(id, "s") })
+	}
+}
+
+// cut has limiters end connections after 100 ms on which answers are due, for attempts that have come to a server.
+func (d *day) cut(attempts int) { d.cutSentAt(0, attempts) }
+
+// cutSentAt is cut for attempts that were sent at a time.
+func (d *day) cutSentAt(ms, attempts int) {
+	for i := range attempts {
+		id := fmt.Sprint("cut", i)
+		d.at(ms, func() {
+			d.Sent(id, &Attempt{Class: once, Machine: "m"})
+			d.Arrived(id, once.Service)
+		})
+		d.at(100, func() { d.Cut(id) })
+	}
+}
+
+// arriveLate has attempts come to a server 700 ms after their clients have left.
+func (d *day) arriveLate(attempts int) {
+	for i := range attempts {
+		id := fmt.Sprint("late", i)
+		d.at(0, func() { d.Sent(id, &Attempt{Class: once, Machine: "m"}) })
+		d.at(100, func() { d.Left(id) })
+		d.at(800, func() { d.Arrived(id, once.Service) })
+	}
+}
+
+// The rules on the ends of connections are found broken, and only where they are.
+func TestLogChecksTheEndsOfConnections(t *testing.T) {
+	allBut := func(first int) func(int) bool { return func(client int) bool { return client >= first } }
+	all, none := allBut(0), allBut(16)
+	for name, c := range map[string]struct {
+		play func(*day)
+		want string
+	}{
+		"all dropped":                  {func(d *day) { d.worked(lookup, 8, all) }, ""},
+		"none dropped":                 {func(d *day) { d.worked(lookup, 8, none) }, ruleGone},
+		"a quarter goes on":            {func(d *day) { d.worked(lookup, 16, allBut(4)) }, ""},
+		"more than a quarter":          {func(d *day) { d.worked(lookup, 16, allBut(5)) }, ruleGone},
+		"not to be repeated":           {func(d *day) { d.worked(once, 8, none) }, ""},
+		"on a machine that was frozen": {func(d *day) { d.Disturbed("m", time.Second); d.worked(lookup, 8, none) }, ""},
+		"on a machine that drains":     {func(d *day) { d.Terminated("m"); d.worked(lookup, 8, none) }, ruleGone},
+		"sent late":                    {func(d *day) { d.arriveLate(4) }, ruleGone},
+		"a few sent late":              {func(d *day) { d.arriveLate(3) }, ""},
+		"a few cut":                    {func(d *day) { d.cut(3) }, ""},
+		"many cut":                     {func(d *day) { d.cut(4) }, ruleLost},
+		"one cut in a drain":           {func(d *day) { d.Terminated("m"); d.cut(1) }, ruleLost},
+		"cut by a server":              {func(d *day) { d.cut(4); failed(d, 4) }, ""},
+		"cut by a kill":                {func(d *day) { d.Disturbed("m", 0); d.cut(4) }, ""},
+		"cut at the end of the grace": {func(d *day) {
+			d.at(-5000, func() { d.Terminated("m") })
+			d.cutSentAt(-2500, 4)
+		}, ""},
+		"sent too late for that": {func(d *day) {
+			d.at(-5000, func() { d.Terminated("m") })
+			d.cutSentAt(-1500, 1)
+		}, ruleLost},
+		"a few proper requests denied":  {func(d *day) { d.deny(5, 404) }, ""},
+		"many proper requests denied":   {func(d *day) { d.deny(6, 404) }, ruleDenied},
+		"many requests over their rate": {func(d *day) { d.deny(6, 429) }, ""},
+	} {
+		d := newDay()
+		c.play(d)
+		d.Finish()
+		broken := slices.Sorted(maps.Keys(d.violationCounts))
+		if got := strings.Join(broken, " "); got != c.want {
+			t.Errorf("%s: %v %v, want %q", name, broken, d.violations, c.want)
+		}
+	}
+}
+
+// failed has the servers of the first attempts that were cut be the ones that broke off.
+func failed(d *day, attempts int) {
+	for i := range attempts {
+		d.ServerFailed(fmt.Sprint("cut", i))
+	}
+}
+
+// deny has proper requests be answered with a status.
+func (d *day) deny(attempts, status int) {
+	for i := range attempts {
+		id := fmt.Sprint("denied", i)
+		d.Sent(id, &Attempt{Class: lookup, Machine: "m"})
+		d.Answered(id, status, "", nil)
+	}
+}
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -32,9 +32,10 @@
 	Seconds         []Second
 	Violations      []string       // the first broken rules, as they were seen
 	ViolationCounts map[string]int // by rule
-	UnexpectedExits int            // processes that ended by themselves
-	MissedChanges   int            // configurations that were never acknowledged
-	Notes           []string       // what else there is to know, a line each
+	Ends            Ends
+	UnexpectedExits int      // processes that ended by themselves
+	MissedChanges   int      // configurations that were never acknowledged
+	Notes           []string // what else there is to know, a line each
 }
 
 // Counts are requests by what became of them.
@@ -120,6 +121,7 @@
 		Seconds:         t.seconds,
 		Violations:      slices.Clone(l.violations),
 		ViolationCounts: maps.Clone(l.violationCounts),
+		Ends:            l.ends,
 	}
 }
 
@@ -140,6 +142,15 @@
 // Passed reports that no rule was broken and no process ended by itself.
 func (r *Report) Passed() bool { return len(r.ViolationCounts) == 0 && r.UnexpectedExits == 0 }
 
+// Requests is how many requests clients have sent.
+func (r *Report) Requests() int {
+	sum := 0
+	for _, s := range r.Stats {
+		sum += s.Requests
+	}
+	return sum
+}
+
 // Served is the share of the requests within the quotas that were answered with success.
 func (r *Report) Served() float64 {
 	return r.share(func(s *Stats) int { return s.InTarget + s.Late })
@@ -190,6 +201,10 @@
 func (r *Report) summary() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "served %.4f of what was within the quotas, %.4f in its aim\n", r.Served(), r.InTarget())
+	e := r.Ends
+	fmt.Fprintf(&b, "%d clients left, %d of %d lasting runs went on, %d came late; "+
+		"%d connections cut, %d lost; %d denied\n",
+		e.Left, e.WentOn, e.Lasting, e.ArrivedLate, e.Cut, e.Lost, e.Denied)
 	for _, n := range r.Notes {
 		fmt.Fprintln(&b, n)
 	}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -102,6 +102,9 @@
 	scenario.HotTenant: func(day *scenario.Day, s *scenario.Fault) fault {
 		return hotTenant{day.Tenants[0].Name, max(minHot, s.Factor), duration(s)}
 	},
+	scenario.LeavingClients: func(_ *scenario.Day, s *scenario.Fault) fault {
+		return leavingClients{max(minShare, s.Factor), duration(s)}
+	},
 	scenario.ChangeConfig:  func(*scenario.Day, *scenario.Fault) fault { return changeConfig{} },
 	scenario.InvalidConfig: func(*scenario.Day, *scenario.Fault) fault { return invalidConfig{} },
 	scenario.RevokeKey: func(day *scenario.Day, _ *scenario.Fault) fault {
@@ -127,6 +130,7 @@
 func (k killNodes) Inject(_ context.Context, f *Fleet) {
 	for _, n := range f.someNodes(k.count) {
 		n.setHeld(true)
+		f.log.Disturbed(n.front, k.down)
 		n.signal(syscall.SIGKILL)
 		time.AfterFunc(k.down, func() { n.setHeld(false) })
 	}
@@ -172,6 +176,7 @@
 }
 
 func (n *node) freeze(d time.Duration) {
+	n.log.Disturbed(n.front, d)
 	n.signal(syscall.SIGSTOP)
 	time.AfterFunc(d, func() { n.signal(syscall.SIGCONT) })
 }
@@ -298,6 +303,19 @@
 	f.load.setHot("", 1)
 }
 
+// leavingClients has a share of the clients leave before they are answered, for a time.
+type leavingClients struct {
+	share    float64
+	duration time.Duration
+}
+
+// Inject implements fault.
+func (l leavingClients) Inject(ctx context.Context, f *Fleet) {
+	f.load.setLeaving(l.share)
+	backoff.Sleep(ctx, l.duration)
+	f.load.setLeaving(0)
+}
+
 // changeConfig brings another configuration.
 type changeConfig struct{}
 
--- a/lab/emulator/layout.go
+++ b/lab/emulator/layout.go
@@ -49,6 +49,7 @@
 				ready:   fmt.Sprint(ip, ":", f.ports.ready),
 				control: fmt.Sprint(ip, ":", f.ports.control),
 				metrics: fmt.Sprint(ip, ":", f.ports.metrics),
+				log:     f.log,
 			}
 			n.dir = filepath.Join(f.dir, n.name)
 			if err := os.MkdirAll(n.dataDir(), 0o755); err != nil {
--- a/lab/emulator/node.go
+++ b/lab/emulator/node.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"example.org/elmspan/internal/backoff"
+	"example.org/elmspan/lab/checker"
 	"example.org/elmspan/settings"
 )
 
@@ -27,6 +28,7 @@
 	front, ready, control string // addresses of its listeners
 	metrics               string
 	core                  bool // it has a disk and is a member of the control plane
+	log                   *checker.Log
 
 	mu      sync.Mutex
 	program string // that is started next
@@ -143,6 +145,12 @@
 		return
 	}
 	n.ordered = n.ordered || sig == syscall.SIGKILL || sig == syscall.SIGTERM
+	switch sig {
+	case syscall.SIGKILL:
+		n.log.Disturbed(n.front, restartDelay)
+	case syscall.SIGTERM:
+		n.log.Terminated(n.front)
+	}
 	_ = n.current.cmd.Process.Signal(sig) // it may have ended just now
 }
 
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -49,10 +49,12 @@
 
 // Kinds of what tenants and operators do.
 const (
-	HotTenant     FaultKind = "hot_tenant" // the first tenant sends Factor times its usual
-	ChangeConfig  FaultKind = "config"     // another configuration is brought
-	InvalidConfig FaultKind = "bad_config" // configurations are brought that must be rejected
-	RevokeKey     FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
+	// LeavingClients: a share Factor of the clients leaves within half of the latency target.
+	LeavingClients FaultKind = "give_up"
+	HotTenant      FaultKind = "hot_tenant" // the first tenant sends Factor times its usual
+	ChangeConfig   FaultKind = "config"     // another configuration is brought
+	InvalidConfig  FaultKind = "bad_config" // configurations are brought that must be rejected
+	RevokeKey      FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
 	// LoseLeaderInDrain: servers drain, and the leader is killed and is back at once.
 	LoseLeaderInDrain FaultKind = "drain_race"
 	// RaceChanges: two configurations on the same version, one at each side, while the
@@ -93,6 +95,7 @@
 	ForgetConnections: {emulator: true},
 	UnreachableZone:   {simulation: true},
 	SlowZone:          {simulation: true},
+	LeavingClients:    {emulator: true},
 	HotTenant:         {emulator: true, simulation: true},
 	ChangeConfig:      {emulator: true},
 	InvalidConfig:     {emulator: true},
--- /dev/null
+++ b/lab/soak/day.go
@@ -0,0 +1,184 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+
+	"example.org/elmspan/lab/scenario"
+)
+
+// Shape is the size of a day.
+type Shape struct {
+	Machines int     // processes, spread over three zones
+	LengthS  float64 // of traffic
+}
+
+const (
+	zones     = 3
+	seedShift = 0x50a4 // separates these draws from others of the same seed
+
+	// requestsPerMachine is how many requests a second come for each machine, up to maxRequests in all.
+	requestsPerMachine = 25.0
+	maxRequests        = 500.0
+
+	firstFaultS = 0.5
+	lastPart    = 0.8 // of the day, by which every series has begun
+)
+
+// Day draws the day of a seed.
+func Day(seed uint64, shape Shape) *scenario.Day {
+	perS := min(maxRequests, requestsPerMachine*float64(shape.Machines))
+	day := &scenario.Day{
+		Seed:    seed,
+		LengthS: shape.LengthS,
+		Zones:   []string{"north", "south", "east"},
+		PerZone: max(1, shape.Machines/zones),
+		Services: []scenario.Service{
+			{Name: "search", Servers: servers(perS*0.75, 60), Slots: 2, Queue: 8, WarmupS: 1},
+			{Name: "filing", Servers: servers(perS*0.25, 80), Slots: 2, Queue: 8, WarmupS: 1},
+		},
+		Classes: classes(perS),
+		Tenants: []scenario.Tenant{
+			{Name: "large", Share: 5, QuotaFactor: 2},
+			{Name: "middle", Share: 3, QuotaFactor: 2},
+			{Name: "small", Share: 1, QuotaFactor: 3},
+		},
+	}
+	rng := rand.New(rand.NewPCG(seed, seedShift))
+	day.Keys = rng.IntN(4) == 0
+	day.Faults = drawFaults(rng, day)
+	return day
+}
+
+// servers is how many servers of two slots are half busy with so many requests a second of so many milliseconds.
+func servers(perS, workMs float64) int { return max(4, int(perS*workMs/1000)) }
+
+// classes are the kinds of requests: most can be repeated, some are long, some must not run twice.
+func classes(perS float64) []scenario.Class {
+	return []scenario.Class{
+		{
+			Name: "lookup", Service: "search", Type: "idempotent", PerS: perS * 0.6, WorkMs: 60,
+			TargetMs: 1000, DeadlineMs: 3000, AnswerBytes: 800,
+		},
+		{
+			Name: "extract", Service: "search", Type: "download", PerS: perS * 0.15, WorkMs: 60,
+			TargetMs: 1500, DeadlineMs: 4000, AnswerBytes: 90_000,
+		},
+		{
+			Name: "file", Service: "filing", Type: "non_idempotent", PerS: perS * 0.25, WorkMs: 80,
+			TargetMs: 1000, DeadlineMs: 3000, AnswerBytes: 300, RequestBytes: 2000,
+		},
+	}
+}
+
+// drawFaults draws the series of a day, and leaving clients throughout. Up to four series run at any time.
+func drawFaults(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	faults := []scenario.Fault{{
+		Kind: scenario.LeavingClients, AtS: 0, ForS: day.LengthS, Factor: 0.1 + 0.3*rng.Float64(),
+	}}
+	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{restarts, reloads, changes, badServers, lostProcesses}
+	for _, part := range parts {
+		faults = append(faults, part(rng, day)...)
+	}
+	within := func(f scenario.Fault) bool { return f.AtS > day.LengthS }
+	faults = slices.DeleteFunc(faults, within)
+	slices.SortStableFunc(faults, func(a, b scenario.Fault) int { return cmp.Compare(a.AtS, b.AtS) })
+	return faults
+}
+
+// begin draws when a series begins.
+func begin(rng *rand.Rand, day *scenario.Day) float64 {
+	return firstFaultS + rng.Float64()*lastPart*day.LengthS
+}
+
+// some draws a number of machines: from one to a third of them.
+func some(rng *rand.Rand, day *scenario.Day) int { return 1 + rng.IntN(max(1, day.PerZone*zones/3)) }
+
+// restarts has machines end in order one after the other, mostly before the one before is back.
+func restarts(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	var faults []scenario.Fault
+	for range 1 + rng.IntN(2) {
+		faults = append(faults, scenario.Fault{
+			Kind: scenario.RestartNodes, AtS: begin(rng, day), Count: some(rng, day), ForS: 0.5 + 3*rng.Float64(),
+		})
+	}
+	return faults
+}
+
+// reloads has machines read their settings again, in a series.
+func reloads(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	return series(rng, day, 2+rng.IntN(6), 0.3, func() scenario.Fault {
+		return scenario.Fault{Kind: scenario.ReloadNodes, Count: some(rng, day)}
+	})
+}
+
+// changes has the operator bring configurations, valid and not, and revoke keys.
+func changes(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	kinds := []scenario.FaultKind{
+		scenario.ChangeConfig, scenario.ChangeConfig, scenario.ChangeConfig, scenario.InvalidConfig, scenario.RevokeKey,
+	}
+	return series(rng, day, 3+rng.IntN(12), 0.5, func() scenario.Fault {
+		return scenario.Fault{Kind: kinds[rng.IntN(len(kinds))]}
+	})
+}
+
+// series draws faults that follow each other at about so many seconds.
+func series(rng *rand.Rand, day *scenario.Day, count int, gapS float64, next func() scenario.Fault) []scenario.Fault {
+	var faults []scenario.Fault
+	at := begin(rng, day) / 2
+	for range count {
+		f := next()
+		f.AtS = at
+		faults = append(faults, f)
+		at += gapS * (0.2 + 1.6*rng.Float64())
+	}
+	return faults
+}
+
+// badServers has servers be slow, hang, fail, go and be replaced. For a time all are slow: clients leave while their
+// requests are worked on.
+func badServers(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	length := func() float64 { return 2 + rng.Float64()*day.LengthS/3 }
+	all := day.Services[0].Servers + day.Services[1].Servers
+	faults := []scenario.Fault{{
+		Kind: scenario.SlowServers, AtS: begin(rng, day) / 2, ForS: length(), Count: all, Factor: 10 + 15*rng.Float64(),
+	}}
+	kinds := []scenario.Fault{
+		{Kind: scenario.GreyServers, Mode: scenario.GreyMute, Factor: 0.4},
+		{Kind: scenario.GreyServers, Mode: scenario.GreyErrors, Factor: 0.4},
+		{Kind: scenario.GreyServers, Mode: scenario.GreyReset, Factor: 0.3},
+		{Kind: scenario.GreyServers, Mode: scenario.GreyShed, Factor: 0.5},
+		{Kind: scenario.GreyServers, Mode: scenario.GreySlow, Factor: 0.5},
+		{Kind: scenario.LoseAnswers, Factor: 0.05},
+		{Kind: scenario.RepeatAnswers, Factor: 0.2},
+		{Kind: scenario.ForgetConnections, Factor: 0.3},
+		{Kind: scenario.FlapServers, Factor: 0.5},
+		{Kind: scenario.CrashServers},
+		{Kind: scenario.ReplaceServers},
+		{Kind: scenario.ReuseAddresses},
+		{Kind: scenario.LoseLeaderInDrain},
+	}
+	for range 2 + rng.IntN(4) {
+		f := kinds[rng.IntN(len(kinds))]
+		f.AtS, f.ForS, f.Count = begin(rng, day), length(), 1+rng.IntN(max(1, all/4))
+		faults = append(faults, f)
+	}
+	return faults
+}
+
+// lostProcesses has processes be killed or stand still, also the leader while two changes race.
+func lostProcesses(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	kinds := []scenario.Fault{
+		{Kind: scenario.KillNodes, Count: 1, ForS: 1},
+		{Kind: scenario.FreezeNodes, Count: 1, ForS: 1.5},
+		{Kind: scenario.RaceChanges, ForS: 0.8},
+	}
+	var faults []scenario.Fault
+	for range rng.IntN(3) {
+		f := kinds[rng.IntN(len(kinds))]
+		f.AtS = begin(rng, day)
+		faults = append(faults, f)
+	}
+	return faults
+}
