The judge counts DRAIN by arrival; throttled machines, herd kills; a server that joins is tried

It counts arrivals now, refused ones too, which is stricter on all else.

The soak has processes that spend their processor time early in each tenth of a second, and many that are killed at once.

--- /dev/null
+++ b/dataplane/balance/join_test.go
@@ -0,0 +1,70 @@
+package balance
+
+import (
+	"fmt"
+	"testing"
+
+	"example.org/elmspan/api"
+)
+
+// serveFor has each limiter send a request every 60 ms, each of which takes 100 ms, and counts those that servers get.
+func serveFor(sets []*Set, fromMs, toMs float64) map[string]int {
+	type inFlight struct {
+		set    *Set
+		member *Member
+		endsAt float64
+	}
+	const everyMs, workMs = 60.0, 100.0
+	got := map[string]int{}
+	var running []inFlight
+	for now := fromMs; now < toMs; now += everyMs {
+		for len(running) > 0 && running[0].endsAt <= now {
+			first := running[0]
+			first.set.FinishAttempt(now, first.member, Success, workMs)
+			running = running[1:]
+		}
+		for _, s := range sets {
+			s.UpdateSubsets(now)
+			m, _ := s.Choose(now, Request{Service: "s", RemainingMs: 1000})
+			if m == nil {
+				continue
+			}
+			s.StartAttempt(m)
+			got[m.ID]++
+			running = append(running, inFlight{s, m, now + workMs})
+		}
+	}
+	return got
+}
+
+// A server that joins gets requests within four seconds as the others do, in a small fleet and where each limiter has
+// servers of its own.
+func TestServerThatJoinsGetsRequests(t *testing.T) {
+	for _, large := range []bool{false, true} {
+		sets, ids := newZone(18, 38)
+		if large {
+			exchangeDemand(sets, ids, func(int) float64 { return 16 })
+		} else {
+			for _, s := range sets {
+				s.SetPeers(nil, false) // who they are is of no account there
+			}
+		}
+		serveFor(sets, 0, 2000)
+		const joined = 5
+		for i := range joined {
+			server := api.Server{
+				ID: fmt.Sprintf("j-%d", i), Upstream: "s", Addr: fmt.Sprint("j", i), Zone: "z", Capacity: 2,
+				State: api.InService, WarmupMs: 2000,
+			}
+			for _, s := range sets {
+				s.ApplyDelta(2000, []api.Server{server}, nil)
+			}
+		}
+		got := serveFor(sets, 2000, 6000)
+		for i := range joined {
+			if id := fmt.Sprintf("j-%d", i); got[id] == 0 {
+				t.Errorf("large fleet: %v: %s got nothing", large, id)
+			}
+		}
+	}
+}
--- a/lab/checker/connections_test.go
+++ b/lab/checker/connections_test.go
@@ -35,7 +35,7 @@
 		id := fmt.Sprint(class.Name, i)
 		d.at(0, func() {
 			d.Sent(id, &Attempt{Class: class, Machine: "m"})
-			d.Arrived(id, class.Service)
+			d.Arrived(id, class.Service, "s")
 			d.Ran(id, Run{Service: class.Service, Member: "s", Work: 2 * time.Second}, false)
 		})
 		d.at(100, func() { d.Left(id) })
@@ -56,7 +56,7 @@
 		id := fmt.Sprint("cut", i)
 		d.at(ms, func() {
 			d.Sent(id, &Attempt{Class: once, Machine: "m"})
-			d.Arrived(id, once.Service)
+			d.Arrived(id, once.Service, "s")
 		})
 		d.at(100, func() { d.Cut(id) })
 	}
@@ -68,7 +68,7 @@
 		id := fmt.Sprint("late", i)
 		d.at(0, func() { d.Sent(id, &Attempt{Class: once, Machine: "m"}) })
 		d.at(100, func() { d.Left(id) })
-		d.at(800, func() { d.Arrived(id, once.Service) })
+		d.at(800, func() { d.Arrived(id, once.Service, "s") })
 	}
 }
 
--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -157,11 +157,15 @@
 	l.sent[id] = a
 }
 
-// Arrived notes that an attempt came to a server, whether it runs or not.
-func (l *Log) Arrived(id, service string) {
+// Arrived notes that an attempt came to a server, whether it runs at once, later or not at all, and checks that the
+// server did not drain.
+func (l *Log) Arrived(id, service, member string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	at := l.clock()
+	if since, ok := l.draining[member]; ok && at-since > DrainMs*time.Millisecond {
+		l.violation(ruleDrain, "%s got %s %v after it was shown as draining", member, id, at-since)
+	}
 	if l.arrivals[id] = append(l.arrivals[id], at); len(l.arrivals[id]) == 1 {
 		l.firsts[service] = append(l.firsts[service], at.Seconds())
 	} else {
@@ -181,7 +185,7 @@
 		return
 	}
 	l.checkContent(id, attempt, &run, sawKey)
-	l.checkTimes(id, attempt, &run)
+	l.checkKey(id, attempt)
 	l.runs[id] = append(l.runs[id], run)
 	if n := len(l.runs[id]); n > 1 && !attempt.Class.Idempotent() {
 		l.violation(ruleTwice, "%s (%s) ran %d times", id, attempt.Class.Name, n)
@@ -201,11 +205,8 @@
 	}
 }
 
-// checkTimes checks that the server and the key were still good. Called under the mutex.
-func (l *Log) checkTimes(id string, attempt *Attempt, run *Run) {
-	if at, ok := l.draining[run.Member]; ok && run.at-at > DrainMs*time.Millisecond {
-		l.violation(ruleDrain, "%s got %s %v after it was shown as draining", run.Member, id, run.at-at)
-	}
+// checkKey checks that the key was still good. Called under the mutex.
+func (l *Log) checkKey(id string, attempt *Attempt) {
 	if at, ok := l.revoked[attempt.Key]; ok && attempt.at-at > RevokeMs*time.Millisecond {
 		l.violation(ruleConfig, "%s ran with a key that was taken away %v before", id, attempt.at-at)
 	}
--- a/lab/checker/log_test.go
+++ b/lab/checker/log_test.go
@@ -38,7 +38,7 @@
 		"UNASKED body": func(l *Log) { l.Ran("a", with(func(r *Run) { r.Body = 9 }), false) },
 		"DRAIN": func(l *Log) {
 			l.draining["m"] = l.clock() - 4*time.Second
-			l.Ran("a", good, false)
+			l.Arrived("a", "filing", "m")
 		},
 		"CONFIG": func(l *Log) {
 			l.revoked["k"] = l.clock() - 6*time.Second
@@ -46,7 +46,7 @@
 		},
 		"BUDGET": func(l *Log) {
 			for range 7 {
-				l.Arrived("a", "search")
+				l.Arrived("a", "search", "m")
 			}
 		},
 		"QUOTA": func(l *Log) {
--- a/lab/emulator/answer.go
+++ b/lab/emulator/answer.go
@@ -44,7 +44,7 @@
 	if err != nil {
 		return s.reject(x, http.StatusBadRequest, "no budget")
 	}
-	s.log.Arrived(x.id, s.service)
+	s.log.Arrived(x.id, s.service, s.id)
 	if x.mode = s.failureMode(); x.mode == scenario.GreyShed {
 		return s.reject(x, http.StatusServiceUnavailable, "shed")
 	}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -19,6 +19,9 @@
 	minFlapS    = 0.2
 	minForgetS  = 0.05
 
+	throttlePeriod   = 100 * time.Millisecond
+	maxThrottleShare = 0.9
+
 	// drainedAfter is when a server that drains is taken off the list and stopped.
 	drainedAfter = (checker.DrainMs + 500) * time.Millisecond
 	// listShowsDraining is about how long the leader takes to see that servers drain.
@@ -72,6 +75,9 @@
 	scenario.FreezeNodes: func(_ *scenario.Day, s *scenario.Fault) fault {
 		return freezeNodes{count(s), duration(s)}
 	},
+	scenario.ThrottleNodes: func(_ *scenario.Day, s *scenario.Fault) fault {
+		return throttleNodes{count(s), min(maxThrottleShare, max(minShare, s.Factor)), duration(s)}
+	},
 	scenario.CrashServers: func(_ *scenario.Day, s *scenario.Fault) fault {
 		return crashServers{count(s), duration(s)}
 	},
@@ -181,6 +187,30 @@
 	time.AfterFunc(d, func() { n.signal(syscall.SIGCONT) })
 }
 
+// throttleNodes has processes run for a share of each period only, for a time. They count as in touch all the while.
+type throttleNodes struct {
+	count    int
+	share    float64
+	duration time.Duration
+}
+
+// Inject implements fault.
+func (t throttleNodes) Inject(ctx context.Context, f *Fleet) {
+	nodes := f.someNodes(t.count)
+	signal := func(sig syscall.Signal) {
+		for _, n := range nodes {
+			n.signal(sig)
+		}
+	}
+	run := time.Duration(t.share * float64(throttlePeriod))
+	for end := time.Now().Add(t.duration); time.Now().Before(end) && ctx.Err() == nil; {
+		signal(syscall.SIGSTOP)
+		time.Sleep(throttlePeriod - run) // shorter than anything that waits for the day's end
+		signal(syscall.SIGCONT)
+		backoff.Sleep(ctx, run)
+	}
+}
+
 // crashServers stops servers outright; the list shows them for a time still.
 type crashServers struct {
 	count  int
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -26,6 +26,9 @@
 	RestartNodes FaultKind = "term"     // processes end in order and start again, with ForS between them
 	ReloadNodes  FaultKind = "hup"      // processes read their settings again
 	FreezeNodes  FaultKind = "freeze"   // processes stand still for ForS
+	// ThrottleNodes: processes run for a share Factor of each tenth of a second and stand still for the rest, as under a
+	// quota of processor time that is spent early.
+	ThrottleNodes FaultKind = "throttle"
 	// PartitionZone: the last zone's limiters and the others can't reach each other.
 	PartitionZone FaultKind = "cut"
 )
@@ -83,6 +86,7 @@
 	RestartNodes:      {emulator: true},
 	ReloadNodes:       {emulator: true},
 	FreezeNodes:       {emulator: true, simulation: true},
+	ThrottleNodes:     {emulator: true},
 	PartitionZone:     {simulation: true},
 	CrashServers:      {emulator: true, simulation: true},
 	ReplaceServers:    {emulator: true, simulation: true},
--- a/lab/simulation/server.go
+++ b/lab/simulation/server.go
@@ -58,7 +58,7 @@
 // arrive accepts an attempt or rejects it.
 func (s *server) arrive(j *job) {
 	e := &s.fleet.engine
-	s.fleet.log.Arrived(j.id, s.spec.Name)
+	s.fleet.log.Arrived(j.id, s.spec.Name, s.id)
 	if s.busy+len(s.queue) >= s.spec.Slots+s.spec.Queue {
 		if s.spec.HangsWhenFull {
 			e.after(j.deadline-e.now, func() { j.end(balance.Failure, true, false) })
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -77,7 +77,9 @@
 	faults := []scenario.Fault{{
 		Kind: scenario.LeavingClients, AtS: 0, ForS: day.LengthS, Factor: 0.1 + 0.3*rng.Float64(),
 	}}
-	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{restarts, reloads, changes, badServers, lostProcesses}
+	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{
+		restarts, reloads, changes, badServers, lostProcesses, throttled,
+	}
 	for _, part := range parts {
 		faults = append(faults, part(rng, day)...)
 	}
@@ -167,10 +169,24 @@
 	return faults
 }
 
-// lostProcesses has processes be killed or stand still, also the leader while two changes race.
+// throttled has machines spend their processor time early in each tenth of a second, on half of the days.
+func throttled(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	return []scenario.Fault{{
+		Kind: scenario.ThrottleNodes, AtS: begin(rng, day), ForS: 2 + 4*rng.Float64(), Count: some(rng, day),
+		Factor: 0.3 + 0.4*rng.Float64(),
+	}}
+}
+
+// lostProcesses has processes be killed, one, half of them or all, or stand still, also the leader while two changes
+// race.
 func lostProcesses(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	kinds := []scenario.Fault{
 		{Kind: scenario.KillNodes, Count: 1, ForS: 1},
+		{Kind: scenario.KillNodes, Count: (day.PerZone*zones + 1) / 2, ForS: 0.5},
+		{Kind: scenario.KillAllNodes, ForS: 0.5},
 		{Kind: scenario.FreezeNodes, Count: 1, ForS: 1.5},
 		{Kind: scenario.RaceChanges, ForS: 0.8},
 	}
--- a/lab/soak/day_test.go
+++ b/lab/soak/day_test.go
@@ -21,7 +21,7 @@
 
 // Every day can be emulated and has what a soak is for: machines that restart, reload and get new configurations in
 // series, servers that are slow, and clients that leave. Over the seeds everything that the emulator can play strikes,
-// but for the loss of all processes and a hot tenant.
+// but for a hot tenant.
 func TestDaysHaveEverything(t *testing.T) {
 	always := []scenario.FaultKind{
 		scenario.LeavingClients, scenario.RestartNodes, scenario.ReloadNodes, scenario.SlowServers,
@@ -46,8 +46,7 @@
 		}
 	}
 	for _, kind := range scenario.FaultKinds() {
-		left := kind == scenario.KillAllNodes || kind == scenario.HotTenant
-		wanted := (&scenario.Fault{Kind: kind}).Emulated() && !left
+		wanted := (&scenario.Fault{Kind: kind}).Emulated() && kind != scenario.HotTenant
 		if seen[kind] != wanted {
 			t.Errorf("%s strikes: %v, want %v", kind, seen[kind], wanted)
 		}
