--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -209,7 +209,7 @@
 	c.await(mine) // the responses that are due go first
 	c.listener.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "error", err)
 	resp := &response{status: malformed.Status, text: malformed.Reason, closes: true}
-	if c.write(resp, nil, time.Now().Add(c.listener.writeTimeout)) == nil {
+	if c.write(c.ctx, resp, nil, time.Now().Add(c.listener.writeTimeout)) == nil {
 		c.closeAfterLast()
 	}
 }
@@ -229,15 +229,18 @@
 	c.listener.report(r, resp)
 	<-mine
 	if c.decideClose(r, resp, sequence) || resp.reason == clientGone.code {
-		return c.closed()
+		c.noteClosing()
+		return true
+	}
+	ctx := c.ctx
+	if refusal == nil {
+		ctx = r.attemptContext()
 	}
-	err := c.write(resp, r.head, c.writeDeadline(r, resp))
+	err := c.write(ctx, resp, r.head, c.writeDeadline(r, resp))
 	if err == nil && !resp.closes {
 		return false
 	}
-	c.mu.Lock()
-	c.closing = true
-	c.mu.Unlock()
+	c.noteClosing()
 	if err == nil {
 		c.closeAfterLast()
 	} else {
@@ -246,12 +249,11 @@
 	return true
 }
 
-// closed notes that the connection ends without a further response.
-func (c *clientConn) closed() bool {
+// noteClosing notes that no response follows: the connection ends.
+func (c *clientConn) noteClosing() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.closing = true
-	return true
 }
 
 // decideClose decides whether the response says that the connection closes. It reports true where a response before
@@ -304,10 +306,10 @@
 	c.setReadDeadline(time.Now().Add(c.listener.linger))
 }
 
-// write writes a response, until a deadline.
-func (c *clientConn) write(resp *response, requestHead *h1.Head, until time.Time) error {
+// write writes a response, until a deadline. The context ends the wait for the link.
+func (c *clientConn) write(ctx context.Context, resp *response, requestHead *h1.Head, until time.Time) error {
 	_ = c.nc.SetWriteDeadline(until) // fails on a closed connection, as the write then does
-	return resp.writeTo(c.nc, requestHead, c.listener.link)
+	return resp.writeTo(ctx, c.nc, requestHead, c.listener.link)
 }
 
 // setReadDeadline sets the read deadline. It fails on a closed connection only, where the next read fails too.
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -75,8 +75,8 @@
 }
 
 // writeTo writes the response. An error leaves it visibly incomplete: the length is not reached or the last chunk is
-// missing. requestHead is nil where the request could not be read.
-func (resp *response) writeTo(w io.Writer, requestHead *h1.Head, l *link.Pacer) error {
+// missing. requestHead is nil where the request could not be read. The context ends the wait for the link.
+func (resp *response) writeTo(ctx context.Context, w io.Writer, requestHead *h1.Head, l *link.Pacer) error {
 	b := bufferPool.Get().(*bytes.Buffer)
 	defer bufferPool.Put(b)
 	b.Reset()
@@ -103,7 +103,7 @@
 	if _, err := w.Write(b.Bytes()); err != nil || resp.rest == nil {
 		return err
 	}
-	return resp.copyRest(w, chunked, l)
+	return resp.copyRest(ctx, w, chunked, l)
 }
 
 // writeStatusLine writes the first line.
@@ -173,7 +173,7 @@
 }
 
 // copyRest writes what was not read whole, a quantum at a time, each when it is this body's turn on the link.
-func (resp *response) copyRest(w io.Writer, chunked bool, l *link.Pacer) error {
+func (resp *response) copyRest(ctx context.Context, w io.Writer, chunked bool, l *link.Pacer) error {
 	p := copyBufferPool.Get().(*[]byte)
 	defer copyBufferPool.Put(p)
 	buf := *p
@@ -183,7 +183,7 @@
 	for {
 		n, err := resp.rest.Read(buf[chunkSizeRoom : len(buf)-chunkEndRoom])
 		if n > 0 {
-			if err := l.Wait(context.Background(), n); err != nil {
+			if err := l.Wait(ctx, n); err != nil {
 				return err
 			}
 			out := buf[chunkSizeRoom : chunkSizeRoom+n]
--- a/dataplane/upstreamrequest.go
+++ b/dataplane/upstreamrequest.go
@@ -54,7 +54,7 @@
 // streamTo sends a body that is too long to be held, of maxBody bytes at most. What the client does wrong meanwhile is
 // an [h1.Error].
 func (r *request) streamTo(w io.Writer, maxBody int64, l *link.Pacer) error {
-	s := bodyStream{w: w, link: l, chunked: r.length < 0, maxBody: maxBody}
+	s := bodyStream{ctx: r.attemptContext(), w: w, link: l, chunked: r.length < 0, maxBody: maxBody}
 	p := copyBufferPool.Get().(*[]byte)
 	defer copyBufferPool.Put(p)
 	buf := *p
@@ -100,6 +100,7 @@
 
 // bodyStream writes a body to a server piece by piece, each when it is its turn on the link.
 type bodyStream struct {
+	ctx     context.Context // ends the wait for the link
 	w       io.Writer
 	link    *link.Pacer
 	chunked bool
@@ -112,7 +113,7 @@
 	if s.sent += int64(len(data)); s.sent > s.maxBody {
 		return &h1.Error{Status: 413, Reason: "the body is too long"}
 	}
-	if err := s.link.Wait(context.Background(), len(data)); err != nil {
+	if err := s.link.Wait(s.ctx, len(data)); err != nil {
 		return err
 	}
 	if !s.chunked {
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -26,8 +26,8 @@
 	RestartNodes FaultKind = "term"     // processes end in order and start again, with ForS between them
 	ReloadNodes  FaultKind = "hup"      // processes read their settings again
 	FreezeNodes  FaultKind = "freeze"   // processes stand still for ForS
-	// ThrottleNodes: processes run for a share Factor of each tenth of a second and stand still for the rest, as under a
-	// quota of processor time that is spent early.
+	// ThrottleNodes: processes run for a share Factor of each tenth of a second and stand still for the rest, as under
+	// a quota of processor time that is spent early.
 	ThrottleNodes FaultKind = "throttle"
 	// PartitionZone: the last zone's limiters and the others can't reach each other.
 	PartitionZone FaultKind = "cut"
