--- a/dataplane/disconnect_test.go
+++ b/dataplane/disconnect_test.go
@@ -1,9 +1,10 @@
 package dataplane
 
 import (
-	"fmt"
+	"errors"
 	"io"
 	"net"
+	"os"
 	"strconv"
 	"strings"
 	"sync/atomic"
@@ -142,14 +143,15 @@
 	t.Parallel()
 	for name, k := range map[string]struct {
 		send    func(c, other *client)
-		arrives int64
+		arrives int64 // at servers, in all
+		goesOn  int64 // requests that are in flight after the bound: a filing at its server, or the other client's
 	}{
-		"retry": {arrives: 1, send: func(c, _ *client) { c.send("POST /once/", "Content-Length: 4\r\n", "body") }},
-		"turn": {arrives: 1, send: func(c, _ *client) {
+		"retry": {arrives: 1, goesOn: 1, send: func(c, _ *client) { c.send("POST /once/", "Content-Length: 4\r\n", "body") }},
+		"turn": {arrives: 1, goesOn: 0, send: func(c, _ *client) {
 			c.send("GET /get/", "", "")
 			c.send("POST /once/", "Content-Length: 4\r\n", "body")
 		}},
-		"link": {arrives: 0, send: func(c, other *client) {
+		"link": {arrives: 0, goesOn: 1, send: func(c, other *client) {
 			writef(other, "GET /bulk/ HTTP/1.1\r\nHost: h\r\nAttempt-Id: other\r\nAuthorization: Token k\r\n\r\n")
 			time.Sleep(disconnectBound / 10)
 			c.send("GET /bulk/", "", "")
@@ -173,6 +175,10 @@
 				k.send(c, dial(t, g))
 				time.Sleep(disconnectBound / 10)
 				closeConn(c.Conn)
+				time.Sleep(disconnectBound)
+				if n := g.forwarder.inFlight.Load(); n != k.goesOn {
+					t.Errorf("%d requests are in flight, want %d", n, k.goesOn)
+				}
 				time.Sleep(10 * disconnectBound)
 				if n := arrived.Load(); n != k.arrives {
 					t.Errorf("%d requests came to servers, want %d", n, k.arrives)
@@ -195,18 +201,19 @@
 				begun, done := make(chan struct{}), make(chan error, 1)
 				b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
 					close(begun)
-					time.Sleep(2 * disconnectBound)
-					_, err := fmt.Fprintf(w, "%s%s",
-						answerHead("200 OK", h.Get("Attempt-Id"), sealed("a1")+sized(len(body))), body)
+					conn := w.(net.Conn)
+					_ = conn.SetReadDeadline(time.Now().Add(2 * disconnectBound)) // the read below shows a failure
+					_, err := conn.Read(make([]byte, 1))
 					done <- err
+					write(w, answerHead("200 OK", h.Get("Attempt-Id"), sealed("a1")+sized(len(body))), string(body))
 					return true
 				})
 				c := dial(t, newGateway(t, b))
 				c.send("POST /once/", "Content-Length: 4\r\n", "body")
 				<-begun
 				leave(c.Conn)
-				if err := <-done; err != nil {
-					t.Errorf("the server meets %v", err)
+				if err := <-done; !errors.Is(err, os.ErrDeadlineExceeded) {
+					t.Errorf("the server meets %v during its work", err)
 				}
 				if name == "half closed" {
 					c.want(200, "body")
--- a/dataplane/lifecycle.go
+++ b/dataplane/lifecycle.go
@@ -177,9 +177,7 @@
 	}
 	for len(l.running) > 0 {
 		select {
-		case <-l.clientLeaves():
-			return clientGone.response(0)
-		case at := <-l.ended:
+		case at := <-l.ended: // also where the client has left: see request.attemptContext
 			l.remove(at)
 			if final := l.afterAttempt(at); final != nil {
 				return final
@@ -197,14 +195,6 @@
 	return l.ownResponse()
 }
 
-// clientLeaves returns a channel that is closed when the client leaves, nil where the request goes on all the same.
-func (l *lifecycle) clientLeaves() <-chan struct{} {
-	if l.request.cancelable() {
-		return l.request.ctx.Done()
-	}
-	return nil
-}
-
 // ownResponse is the gateway's own response where no server's is of use.
 func (l *lifecycle) ownResponse() *response {
 	switch l.state.FinalStatus(l.forwarder.clock.nowMs()) {
