--- a/dataplane/disconnect_test.go
+++ b/dataplane/disconnect_test.go
@@ -146,7 +146,9 @@
 		arrives int64 // at servers, in all
 		goesOn  int64 // requests that are in flight after the bound: a filing at its server, or the other client's
 	}{
-		"retry": {arrives: 1, goesOn: 1, send: func(c, _ *client) { c.send("POST /once/", "Content-Length: 4\r\n", "body") }},
+		"retry": {arrives: 1, goesOn: 1, send: func(c, _ *client) {
+			c.send("POST /once/", "Content-Length: 4\r\n", "body")
+		}},
 		"turn": {arrives: 1, goesOn: 0, send: func(c, _ *client) {
 			c.send("GET /get/", "", "")
 			c.send("POST /once/", "Content-Length: 4\r\n", "body")
