--- a/dataplane/disconnect_test.go
+++ b/dataplane/disconnect_test.go
@@ -144,7 +144,7 @@
 	for name, k := range map[string]struct {
 		send    func(c, other *client)
 		arrives int64 // at servers, in all
-		goesOn  int64 // requests that are in flight after the bound: a filing at its server, or the other client's
+		goesOn  int64 // requests that are in flight a moment later: a filing at its server, or the other client's
 	}{
 		"retry": {arrives: 1, goesOn: 1, send: func(c, _ *client) {
 			c.send("POST /once/", "Content-Length: 4\r\n", "body")
@@ -177,7 +177,7 @@
 				k.send(c, dial(t, g))
 				time.Sleep(disconnectBound / 10)
 				closeConn(c.Conn)
-				time.Sleep(disconnectBound)
+				time.Sleep(disconnectBound / 10) // before the link is free
 				if n := g.forwarder.inFlight.Load(); n != k.goesOn {
 					t.Errorf("%d requests are in flight, want %d", n, k.goesOn)
 				}
