Read once more: one context for a request's work, names of the field, checked flags of the soak

Change: attemptContext alone says what ends with the client; cancelable is gone. clientDisconnected, acquire, closeUpstream, explorationBonus, Aborted, LongRuns, giveUpAfter. One constant for the drain's window in the judge; a comment of the soak that nobody had checked is taken out. What the gateway and the judge do is the same; the codes in logs and metrics keep their names.

--- a/cmd/elmspan/soak.go
+++ b/cmd/elmspan/soak.go
@@ -27,8 +27,9 @@
 
 // Run plays the days. A broken rule is exit code 3, after all have been played.
 func (c *soakCmd) Run() error {
-	if c.Machines < 1 || c.Machines > maxSoakMachines {
-		return fmt.Errorf("--machines: %d: from 1 to %d", c.Machines, maxSoakMachines)
+	shape := soak.Shape{Machines: c.Machines, LengthS: c.Seconds}
+	if err := c.validate(shape); err != nil {
+		return err
 	}
 	program, err := (&emulateCmd{Program: c.Program, Debug: c.Debug}).gateway()
 	if err != nil {
@@ -43,7 +44,7 @@
 		Program: program,
 		Dir:     c.Dir,
 		Out:     io.Discard,
-		Shape:   soak.Shape{Machines: c.Machines, LengthS: c.Seconds},
+		Shape:   shape,
 	}
 	if c.Verbose {
 		runner.Out = os.Stderr
@@ -53,6 +54,21 @@
 	return c.play(ctx, runner)
 }
 
+// validate returns what is wrong with the flags.
+func (c *soakCmd) validate(shape soak.Shape) error {
+	if c.Machines < soak.Zones || c.Machines > maxSoakMachines || c.Machines%soak.Zones != 0 {
+		return fmt.Errorf("--machines: %d: from %d to %d, a multiple of %d",
+			c.Machines, soak.Zones, maxSoakMachines, soak.Zones)
+	}
+	if c.Seeds < 1 {
+		return fmt.Errorf("--seeds: %d: 1 or more", c.Seeds)
+	}
+	if err := soak.Day(c.First, shape).Validate(); err != nil {
+		return fmt.Errorf("--seconds: %w", err)
+	}
+	return nil
+}
+
 // play plays all seeds and prints a line on each, and more on those that broke something.
 func (c *soakCmd) play(ctx context.Context, runner *soak.Runner) error {
 	broken := 0
--- a/dataplane/balance/choose.go
+++ b/dataplane/balance/choose.go
@@ -15,7 +15,7 @@
 //	+ affinity x (0: own, 1: of a peer, 2: distant)
 //	+ sharing x part of the server in other limiters' subsets
 //	+ suspicionCost x suspicion of the health detector
-//	- untriedBonus, if the server is own and idle and has never had a request from here
+//	- explorationBonus, if the server is own and idle and has never had a request from here
 //	+ a random tie-break
 //
 // All terms are in units of the service's typical latency. The figures were measured; see
@@ -31,9 +31,9 @@
 	suspicionCost = 0.5
 	// suspicionCostNonIdempotent: a request that must not run twice is lost with its attempt.
 	suspicionCostNonIdempotent = 2.0
-	// untriedBonus has each server of a subset be tried once, also where fewer would do: one that has joined is
-	// not left out, and what is wrong with it shows while there is little to do. It outweighs sharing and occupancy.
-	untriedBonus = 0.4
+	// explorationBonus has each server of a subset get a request once, also where fewer would do: one that has joined
+	// is not left out, and a fault of it shows while there is little to do. It outweighs sharing and occupancy.
+	explorationBonus = 0.4
 	// tieBreakCost times a random number in [0, 1): less than any difference that matters.
 	tieBreakCost = 0.01
 )
@@ -198,17 +198,17 @@
 	}
 	cost += c.weights.affinity*float64(m.affinity) + c.weights.sharing*m.sharedFraction +
 		c.suspicionCost()*m.health.Suspicion(c.now) + tieBreakCost*c.set.rng.Float64()
-	if c.tries(m, load) {
-		cost -= untriedBonus
+	if c.explores(m, load) {
+		cost -= explorationBonus
 	}
 	return candidate{member: m, cost: cost, time: slowness * (1 + queued), load: load}
 }
 
-// tries reports whether the request may show what a server is like that has had none yet. A request that must not run
-// twice is not risked for that.
-func (c *selection) tries(m *Member, load float64) bool {
+// explores reports whether the request may show what a server is like that has had none yet. A request that must not
+// run twice is not risked for that.
+func (c *selection) explores(m *Member, load float64) bool {
 	idle := load == 0 && !m.isWarming(c.now)
-	return !m.tried && m.affinity == ownServer && idle && !c.request.NonIdempotent
+	return !m.attempted && m.affinity == ownServer && idle && !c.request.NonIdempotent
 }
 
 func (c *selection) suspicionCost() float64 {
--- a/dataplane/balance/load.go
+++ b/dataplane/balance/load.go
@@ -94,7 +94,7 @@
 // StartAttempt notes that a request goes to a server.
 func (s *Set) StartAttempt(m *Member) {
 	m.inFlight++
-	m.tried = true
+	m.attempted = true
 	s.queueHint(m, 0)
 }
 
--- a/dataplane/balance/outcome.go
+++ b/dataplane/balance/outcome.go
@@ -7,15 +7,15 @@
 
 // The results.
 const (
-	Success     Result = iota // an answer in full
-	Rejected                  // the server said that it did not run the request
-	Failure                   // no answer, or none of use
-	NotSent                   // nothing reached the server: the connect failed
-	Cancelled                 // given up here: says nothing about the server
-	Replaced                  // another server answers at the address
-	HedgeLost                 // given up as another attempt answered first: it took at least as long
-	ServerError               // the server ran the request and answered with a failure of its own
-	ClientGone                // given up as the client had left: it took at least as long
+	Success            Result = iota // an answer in full
+	Rejected                         // the server said that it did not run the request
+	Failure                          // no answer, or none of use
+	NotSent                          // nothing reached the server: the connect failed
+	Cancelled                        // given up here: says nothing about the server
+	Replaced                         // another server answers at the address
+	HedgeLost                        // given up as another attempt answered first: it took at least as long
+	ServerError                      // the server ran the request and answered with a failure of its own
+	ClientDisconnected               // given up as the client had left: it took at least as long
 )
 
 const (
@@ -46,7 +46,7 @@
 	switch r {
 	case Success:
 		latency = s.answered(now, m, tookMs)
-	case HedgeLost, ClientGone:
+	case HedgeLost, ClientDisconnected:
 		latency = s.gaveUp(now, m, tookMs)
 	case Rejected:
 		s.rejected(now, m)
--- a/dataplane/balance/set.go
+++ b/dataplane/balance/set.go
@@ -21,7 +21,7 @@
 
 	service      *service
 	inFlight     int                 // this limiter's own requests
-	tried        bool                // it has had a request from this limiter
+	attempted    bool                // it has had a request from this limiter
 	peerLoads    map[uint64]peerLoad // by limiter, from hints
 	slowdown     float64             // latency against what is typical, as of slowdownAt; 1: typical
 	slowdownAt   float64
--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -78,8 +78,8 @@
 		turn = next
 		r, refusal := c.prepare(head, arrived, mine)
 		if refusal == nil && r.stream == nil && r.route.IsIdempotent() && !head.ClosesConnection() {
-			if !pipeline.tryEnter() {
-				c.watchWhile(pipeline.enter)
+			if !pipeline.acquireIfFree() {
+				c.watchWhile(pipeline.acquire)
 			}
 			pipeline.run(func() {
 				c.answer(r, nil, mine, sequence)
@@ -220,23 +220,17 @@
 	resp := refusal
 	if resp == nil {
 		resp = c.listener.forwarder.forward(r)
-		if r.cancelable() {
-			resp.interruptOn(c.ctx)
-		}
+		resp.interruptOn(r.attemptContext())
 	}
 	defer resp.release()
 	defer c.listener.forwarder.finish(r)
 	c.listener.report(r, resp)
 	<-mine
-	if c.decideClose(r, resp, sequence) || resp.reason == clientGone.code {
+	if c.decideClose(r, resp, sequence) || resp.reason == clientDisconnected.code {
 		c.noteClosing()
 		return true
 	}
-	ctx := c.ctx
-	if refusal == nil {
-		ctx = r.attemptContext()
-	}
-	err := c.write(ctx, resp, r.head, c.writeDeadline(r, resp))
+	err := c.write(r.attemptContext(), resp, r.head, c.writeDeadline(r, resp))
 	if err == nil && !resp.closes {
 		return false
 	}
--- a/dataplane/forwarder.go
+++ b/dataplane/forwarder.go
@@ -45,7 +45,7 @@
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
 	if r.clientLeft() { // it was read late, or is pipelined behind others
-		return clientGone.response(0)
+		return clientDisconnected.response(0)
 	}
 	run, refusal := f.begin(r)
 	if refusal != nil {
--- a/dataplane/lifecycle.go
+++ b/dataplane/lifecycle.go
@@ -66,7 +66,7 @@
 		return nil
 	case <-t.C:
 	case <-l.request.ctx.Done():
-		refusal = clientGone.response(0)
+		refusal = clientDisconnected.response(0)
 	}
 	f.guarded.mu.Lock()
 	delete(f.waiting, l.state)
@@ -78,7 +78,7 @@
 // Nothing is sent for a client that has left.
 func (l *lifecycle) startAttempt(hedge bool) (started bool, refusal *response) {
 	if l.request.clientLeft() {
-		return false, clientGone.response(0)
+		return false, clientDisconnected.response(0)
 	}
 	at, refusal := l.chooseServer(hedge)
 	if at == nil {
--- a/dataplane/metrics.go
+++ b/dataplane/metrics.go
@@ -62,7 +62,7 @@
 var resultNames = map[balance.Result]string{
 	balance.Success: "good", balance.Rejected: "full", balance.Failure: "failed", balance.NotSent: "unsent",
 	balance.Cancelled: "given_up", balance.Replaced: "moved", balance.HedgeLost: "beaten", balance.ServerError: "erred",
-	balance.ClientGone: "client_gone",
+	balance.ClientDisconnected: "client_gone",
 }
 
 // observeAttempt counts an attempt at a server. Without metrics it costs a comparison.
--- a/dataplane/pipeline.go
+++ b/dataplane/pipeline.go
@@ -11,8 +11,8 @@
 
 func newPipeline() *pipeline { return &pipeline{slots: make(chan struct{}, maxPipelined)} }
 
-// tryEnter takes a slot for a request, and reports whether one was free.
-func (p *pipeline) tryEnter() bool {
+// acquireIfFree takes a slot for a request, and reports whether one was free.
+func (p *pipeline) acquireIfFree() bool {
 	select {
 	case p.slots <- struct{}{}:
 		return true
@@ -21,8 +21,8 @@
 	}
 }
 
-// enter takes a slot for a request, once one is free.
-func (p *pipeline) enter() { p.slots <- struct{}{} }
+// acquire takes a slot for a request, once one is free.
+func (p *pipeline) acquire() { p.slots <- struct{}{} }
 
 // run answers a request that has a slot in a goroutine of its own.
 func (p *pipeline) run(answer func()) {
--- a/dataplane/refusal.go
+++ b/dataplane/refusal.go
@@ -31,8 +31,8 @@
 	noRoute          = refusalReason{404, "no_route", "no route"}
 	unknownKey       = refusalReason{401, "unknown_key", "unknown key"}
 
-	// clientGone is in logs and metrics only: nobody is left to be answered.
-	clientGone = refusalReason{499, "client_gone", ""}
+	// clientDisconnected is in logs and metrics only: nobody is left to be answered.
+	clientDisconnected = refusalReason{499, "client_gone", ""}
 )
 
 // response returns the response that a refusal leads to; to come back after some time, 0 where that is not known.
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -167,13 +167,10 @@
 // clientLeft reports whether the client was seen to have left.
 func (r *request) clientLeft() bool { return r.ctx.Err() != nil }
 
-// cancelable reports whether the request is given up at its server once its client has left. One that must not run
-// twice is not: nobody could tell whether it was done.
-func (r *request) cancelable() bool { return r.route.IsIdempotent() }
-
-// attemptContext is the context that attempts at servers depend on.
+// attemptContext is the context that attempts at servers, and the transfer of what they bring, depend on. It ends when
+// the client has left, unless the request must not run twice: nobody could tell then whether it was done.
 func (r *request) attemptContext() context.Context {
-	if r.cancelable() {
+	if r.route != nil && r.route.IsIdempotent() {
 		return r.ctx
 	}
 	return context.WithoutCancel(r.ctx)
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -46,15 +46,15 @@
 	rest   *h1.Body // what follows, where it was not read whole
 	length int64    // of all; h1.Chunked where it isn't known, h1.UntilClose where nothing is said of it
 
-	free func(whole bool) // lets go of the connection to the server; nil: there is none
-	cut  func()           // closes it, where rest is read from it
-	stop func() bool      // takes back what interruptOn has set; nil: nothing
+	free            func(whole bool) // lets go of the connection to the server; nil: there is none
+	closeUpstream   func()           // closes that connection, where rest is read from it
+	cancelInterrupt func() bool      // takes back what interruptOn has set; nil: nothing
 }
 
 // interruptOn has the end of a context close the connection to the server, if the rest of the body comes from it.
 func (resp *response) interruptOn(ctx context.Context) {
-	if resp.rest != nil && resp.cut != nil {
-		resp.stop = context.AfterFunc(ctx, resp.cut)
+	if resp.rest != nil && resp.closeUpstream != nil {
+		resp.cancelInterrupt = context.AfterFunc(ctx, resp.closeUpstream)
 	}
 }
 
@@ -63,7 +63,8 @@
 	if resp.free == nil {
 		return
 	}
-	interrupted := resp.stop != nil && !resp.stop() // the connection is closed, or will be: nobody else may have it
+	// An interrupted connection is closed, or will be: nobody else may have it.
+	interrupted := resp.cancelInterrupt != nil && !resp.cancelInterrupt()
 	resp.free(!interrupted && (resp.rest == nil || resp.rest.Done()))
 	resp.free = nil
 }
--- a/dataplane/roundtrip.go
+++ b/dataplane/roundtrip.go
@@ -64,7 +64,7 @@
 // cancelledResult is how an attempt ended that was cancelled.
 func (r *request) cancelledResult() balance.Result {
 	if r.clientLeft() {
-		return balance.ClientGone
+		return balance.ClientDisconnected
 	}
 	return balance.HedgeLost
 }
@@ -178,7 +178,7 @@
 		}
 	}
 	e.Response = attempt.Streaming
-	resp.rest, resp.free, resp.cut = body, f.releaseFunc(c, e), c.Close
+	resp.rest, resp.free, resp.closeUpstream = body, f.releaseFunc(c, e), c.Close
 	return f.classify(e, resp)
 }
 
--- a/lab/checker/connections.go
+++ b/lab/checker/connections.go
@@ -7,15 +7,15 @@
 
 // Rules on the ends of connections.
 const (
-	ruleGone   = "GONE"   // work went on for clients that had left
-	ruleLost   = "LOST"   // a limiter ended a connection without the answer that was due on it
-	ruleDenied = "DENIED" // proper requests got a 4xx of the limiter's own
+	ruleDisconnect = "GONE"   // work went on for clients that had left
+	ruleLost       = "LOST"   // a limiter ended a connection without the answer that was due on it
+	ruleDenied     = "DENIED" // proper requests got a 4xx of the limiter's own
 )
 
 // Figures of these rules.
 const (
-	// GoneMs is how long after its client has left a request may still come to a server, or be worked on there.
-	GoneMs = 500
+	// DisconnectMs is how long after its client has left a request may still come to a server, or be worked on there.
+	DisconnectMs = 500
 	// ContactMs is how long after a disturbance a machine counts as out of touch.
 	ContactMs = 4000
 	// GraceMs is the time from SIGTERM to SIGKILL.
@@ -24,11 +24,13 @@
 	drainOpenMs = 3000
 	// ... whose last sixth begins here.
 	lastSixthMs = GraceMs - GraceMs/6
+	// drainWindowMs is how long after SIGTERM what happens belongs to the drain.
+	drainWindowMs = GraceMs + 1000
 
-	fewRequests   = 3   // that rules with a share or a number leave uncounted
-	goneShare     = 4.0 // one in so many runs may go on
-	fewDenied     = 5
-	deniedPerSent = 500
+	fewRequests          = 3   // that rules with a share or a number leave uncounted
+	longRunsPerContinued = 4.0 // one in so many runs may go on
+	fewDenied            = 5
+	deniedPerSent        = 500
 )
 
 // span is a time from and to.
@@ -78,11 +80,11 @@
 	l.sent[id].left = l.clock()
 }
 
-// Cut notes that the limiter ended the connection on which an answer was due.
-func (l *Log) Cut(id string) {
+// Aborted notes that the limiter ended the connection on which an answer was due.
+func (l *Log) Aborted(id string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.sent[id].cut = l.clock()
+	l.sent[id].aborted = l.clock()
 }
 
 // ServerFailed notes that a server broke off, or never answers, an attempt: what becomes of it is not the limiter's
@@ -118,10 +120,10 @@
 // Ends counts attempts by how their connections ended, and what was judged of them.
 type Ends struct {
 	Left        int // clients that left without an answer, at machines in touch
-	Lasting     int // repeatable runs that would have lasted past the bound after their clients had left
-	WentOn      int // and that did
+	LongRuns    int // repeatable runs that would have lasted past the bound after their clients had left
+	Continued   int // and that did
 	ArrivedLate int // requests that came to a server after that bound
-	Cut         int // connections that limiters ended without an answer
+	Aborted     int // connections that limiters ended without an answer
 	Lost        int // of these, requests that a sound server had
 	Denied      int // proper requests that got a 4xx of the limiter's own
 }
@@ -133,12 +135,12 @@
 		l.countEnd(e, id, a)
 	}
 	if e.ArrivedLate > fewRequests {
-		l.violation(ruleGone, "%d requests came to a server over %d ms after their clients had left",
-			e.ArrivedLate, GoneMs)
+		l.violation(ruleDisconnect, "%d requests came to a server over %d ms after their clients had left",
+			e.ArrivedLate, DisconnectMs)
 	}
-	if e.WentOn > fewRequests && goneShare*float64(e.WentOn) > float64(e.Lasting) {
-		l.violation(ruleGone, "%d of %d runs went on over %d ms after their clients had left",
-			e.WentOn, e.Lasting, GoneMs)
+	if e.Continued > fewRequests && longRunsPerContinued*float64(e.Continued) > float64(e.LongRuns) {
+		l.violation(ruleDisconnect, "%d of %d runs went on over %d ms after their clients had left",
+			e.Continued, e.LongRuns, DisconnectMs)
 	}
 	if e.Lost > fewRequests {
 		l.violation(ruleLost, "%d requests were cut by limiters without an answer, after they had come to a server",
@@ -163,18 +165,18 @@
 
 // countEnd counts how an attempt ended. Called under the mutex.
 func (l *Log) countEnd(e *Ends, id string, a *Attempt) {
-	if a.left > 0 && l.inTouch(a.Machine, span{a.left, a.left + GoneMs*time.Millisecond}) {
+	if a.left > 0 && l.inTouch(a.Machine, span{a.left, a.left + DisconnectMs*time.Millisecond}) {
 		e.Left++
 		e.addLeft(a, l.arrivals[id], l.runs[id])
 	}
-	if a.cut > 0 {
-		e.Cut++
+	if a.aborted > 0 {
+		e.Aborted++
 	}
 	if l.isLost(id, a) {
 		e.Lost++
 		if l.terminating(a) { // planned work: none may be lost
 			l.violation(ruleLost, "%s (%s) was cut at %.3f s, while %s drained",
-				id, a.Class.Name, a.cut.Seconds(), a.Machine)
+				id, a.Class.Name, a.aborted.Seconds(), a.Machine)
 		}
 	}
 	if isDenial(a.status) {
@@ -194,11 +196,12 @@
 
 // isLost reports whether a limiter in touch cut a request that a sound server had. Called under the mutex.
 func (l *Log) isLost(id string, a *Attempt) bool {
-	if a.cut == 0 || a.serverFailed || len(l.arrivals[id]) == 0 || !l.inTouch(a.Machine, span{a.at, a.cut}) {
+	if a.aborted == 0 || a.serverFailed || len(l.arrivals[id]) == 0 || !l.inTouch(a.Machine, span{a.at, a.aborted}) {
 		return false
 	}
 	for _, at := range l.machine(a.Machine).terminated {
-		inLastSixth := a.cut-at >= lastSixthMs*time.Millisecond && a.cut-at <= (GraceMs+1000)*time.Millisecond
+		since := a.aborted - at
+		inLastSixth := since >= lastSixthMs*time.Millisecond && since <= drainWindowMs*time.Millisecond
 		if inLastSixth && a.at-at <= drainOpenMs*time.Millisecond {
 			return false
 		}
@@ -210,7 +213,7 @@
 // mutex.
 func (l *Log) terminating(a *Attempt) bool {
 	for _, at := range l.machine(a.Machine).terminated {
-		if a.cut >= at && a.cut-at <= (GraceMs+1000)*time.Millisecond {
+		if since := a.aborted - at; since >= 0 && since <= drainWindowMs*time.Millisecond {
 			return true
 		}
 	}
@@ -228,7 +231,7 @@
 
 // addLeft counts what was done for a client that had left.
 func (e *Ends) addLeft(a *Attempt, arrivals []time.Duration, runs []Run) {
-	bound := a.left + GoneMs*time.Millisecond
+	bound := a.left + DisconnectMs*time.Millisecond
 	for _, at := range arrivals {
 		if at > bound {
 			e.ArrivedLate++
@@ -241,9 +244,9 @@
 		if run.at+run.Work <= bound {
 			continue
 		}
-		e.Lasting++
+		e.LongRuns++
 		if run.ended == 0 || run.ended > bound {
-			e.WentOn++
+			e.Continued++
 		}
 	}
 }
--- a/lab/checker/connections_test.go
+++ b/lab/checker/connections_test.go
@@ -47,18 +47,18 @@
 	}
 }
 
-// cut has limiters end connections after 100 ms on which answers are due, for attempts that have come to a server.
-func (d *day) cut(attempts int) { d.cutSentAt(0, attempts) }
+// abort has limiters end connections after 100 ms on which answers are due, for attempts that have come to a server.
+func (d *day) abort(attempts int) { d.abortSentAt(0, attempts) }
 
-// cutSentAt is cut for attempts that were sent at a time.
-func (d *day) cutSentAt(ms, attempts int) {
+// abortSentAt is abort for attempts that were sent at a time.
+func (d *day) abortSentAt(ms, attempts int) {
 	for i := range attempts {
 		id := fmt.Sprint("cut", i)
 		d.at(ms, func() {
 			d.Sent(id, &Attempt{Class: once, Machine: "m"})
 			d.Arrived(id, once.Service, "s")
 		})
-		d.at(100, func() { d.Cut(id) })
+		d.at(100, func() { d.Aborted(id) })
 	}
 }
 
@@ -81,26 +81,26 @@
 		want string
 	}{
 		"all dropped":                  {func(d *day) { d.worked(lookup, 8, all) }, ""},
-		"none dropped":                 {func(d *day) { d.worked(lookup, 8, none) }, ruleGone},
+		"none dropped":                 {func(d *day) { d.worked(lookup, 8, none) }, ruleDisconnect},
 		"a quarter goes on":            {func(d *day) { d.worked(lookup, 16, allBut(4)) }, ""},
-		"more than a quarter":          {func(d *day) { d.worked(lookup, 16, allBut(5)) }, ruleGone},
+		"more than a quarter":          {func(d *day) { d.worked(lookup, 16, allBut(5)) }, ruleDisconnect},
 		"not to be repeated":           {func(d *day) { d.worked(once, 8, none) }, ""},
 		"on a machine that was frozen": {func(d *day) { d.Disturbed("m", time.Second); d.worked(lookup, 8, none) }, ""},
-		"on a machine that drains":     {func(d *day) { d.Terminated("m"); d.worked(lookup, 8, none) }, ruleGone},
-		"sent late":                    {func(d *day) { d.arriveLate(4) }, ruleGone},
+		"on a machine that drains":     {func(d *day) { d.Terminated("m"); d.worked(lookup, 8, none) }, ruleDisconnect},
+		"sent late":                    {func(d *day) { d.arriveLate(4) }, ruleDisconnect},
 		"a few sent late":              {func(d *day) { d.arriveLate(3) }, ""},
-		"a few cut":                    {func(d *day) { d.cut(3) }, ""},
-		"many cut":                     {func(d *day) { d.cut(4) }, ruleLost},
-		"one cut in a drain":           {func(d *day) { d.Terminated("m"); d.cut(1) }, ruleLost},
-		"cut by a server":              {func(d *day) { d.cut(4); failed(d, 4) }, ""},
-		"cut by a kill":                {func(d *day) { d.Disturbed("m", 0); d.cut(4) }, ""},
+		"a few cut":                    {func(d *day) { d.abort(3) }, ""},
+		"many cut":                     {func(d *day) { d.abort(4) }, ruleLost},
+		"one cut in a drain":           {func(d *day) { d.Terminated("m"); d.abort(1) }, ruleLost},
+		"cut by a server":              {func(d *day) { d.abort(4); failed(d, 4) }, ""},
+		"cut by a kill":                {func(d *day) { d.Disturbed("m", 0); d.abort(4) }, ""},
 		"cut at the end of the grace": {func(d *day) {
 			d.at(-5000, func() { d.Terminated("m") })
-			d.cutSentAt(-2500, 4)
+			d.abortSentAt(-2500, 4)
 		}, ""},
 		"sent too late for that": {func(d *day) {
 			d.at(-5000, func() { d.Terminated("m") })
-			d.cutSentAt(-1500, 1)
+			d.abortSentAt(-1500, 1)
 		}, ruleLost},
 		"a few proper requests denied":  {func(d *day) { d.deny(5, 404) }, ""},
 		"many proper requests denied":   {func(d *day) { d.deny(6, 404) }, ruleDenied},
--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -81,7 +81,7 @@
 	at           time.Duration
 	status       int           // 0: no answer
 	left         time.Duration // when its client left without an answer; 0: it did not
-	cut          time.Duration // when the limiter ended the connection without an answer; 0: it did not
+	aborted      time.Duration // when the limiter ended the connection without an answer; 0: it did not
 	serverFailed bool          // a server broke it off, or never answered
 }
 
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -204,7 +204,7 @@
 	e := r.Ends
 	fmt.Fprintf(&b, "%d clients left, %d of %d lasting runs went on, %d came late; "+
 		"%d connections cut, %d lost; %d denied\n",
-		e.Left, e.WentOn, e.Lasting, e.ArrivedLate, e.Cut, e.Lost, e.Denied)
+		e.Left, e.Continued, e.LongRuns, e.ArrivedLate, e.Aborted, e.Lost, e.Denied)
 	for _, n := range r.Notes {
 		fmt.Fprintln(&b, n)
 	}
--- a/lab/emulator/answer.go
+++ b/lab/emulator/answer.go
@@ -18,7 +18,7 @@
 // exchange is a request that a server answers.
 type exchange struct {
 	conn   net.Conn
-	gone   <-chan struct{} // closed when the caller has ended the connection
+	ended  <-chan struct{} // closed when the caller has ended the connection
 	rested time.Duration   // for which the connection was at rest before
 	head   *h1.Head
 	body   []byte
@@ -63,7 +63,7 @@
 	case s.slots <- struct{}{}:
 	case <-x.budget.C:
 		return s.reject(x, http.StatusServiceUnavailable, "late")
-	case <-x.gone: // nobody waits for it any more
+	case <-x.ended: // nobody waits for it any more
 		s.noteDropped(x)
 		return false
 	}
@@ -75,7 +75,7 @@
 func (x *exchange) hang() {
 	select {
 	case <-x.budget.C:
-	case <-x.gone:
+	case <-x.ended:
 	}
 }
 
@@ -86,7 +86,7 @@
 	select {
 	case <-done.C:
 		return true
-	case <-x.gone:
+	case <-x.ended:
 		return false
 	}
 }
--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -76,8 +76,8 @@
 	target func(attempt int) string // address; empty: nobody is ready
 	id     func(attempt int) string
 	key    func() string
-	// patience is how long the client stays; 0: until the deadline. It leaves without a further attempt.
-	patience time.Duration
+	// giveUpAfter is how long the client stays; 0: until the deadline. It leaves without a further attempt.
+	giveUpAfter time.Duration
 	// keeps: what must not run twice is sent on kept connections too.
 	keeps  bool
 	events attemptEvents // nil: nobody wants to know
@@ -88,7 +88,7 @@
 	sent(id, target, key string, body []byte)
 	answered(id string, status int, seal string, got []byte)
 	left(id string)         // the client closes its connection without an answer
-	cut(id string)          // the limiter ended the connection without one
+	aborted(id string)      // the limiter ended the connection without one
 	arrived(id string) bool // whether a server had it
 }
 
@@ -109,8 +109,8 @@
 func (c *Client) sendUntil(ctx context.Context, r request) (status, attempts int, gaveUp bool) {
 	deadline := time.Now().Add(time.Duration(r.class.DeadlineMs * float64(time.Millisecond)))
 	leaveAt := deadline
-	if r.patience > 0 {
-		leaveAt = time.Now().Add(r.patience)
+	if r.giveUpAfter > 0 {
+		leaveAt = time.Now().Add(r.giveUpAfter)
 	}
 	for attempts < scenario.MaxAttempts && time.Now().Before(deadline) && ctx.Err() == nil {
 		target := r.target(attempts)
@@ -172,7 +172,7 @@
 	if r.events == nil || gaveUp {
 		return outcome{gaveUp: gaveUp}
 	}
-	r.events.cut(id)
+	r.events.aborted(id)
 	return outcome{unread: used && !r.events.arrived(id)}
 }
 
--- a/lab/emulator/fleet.go
+++ b/lab/emulator/fleet.go
@@ -140,6 +140,7 @@
 			err := n.supervise(ctx, f.args, func(state *os.ProcessState) {
 				f.exits.Add(1)
 				f.printf("emulator: %s ended by itself: %v", n.name, state)
+				f.note("%s ended by itself at %.1f s: %v", n.name, f.sinceStart().Seconds(), state)
 			})
 			if err != nil {
 				f.printf("%v", err)
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -46,17 +46,17 @@
 
 // arrival is a request that a client is about to send.
 type arrival struct {
-	tenant   *scenario.Tenant
-	pause    time.Duration // before it
-	sequence int
-	home     home
-	patience time.Duration // of the client; 0: until the deadline
+	tenant      *scenario.Tenant
+	pause       time.Duration // before it
+	sequence    int
+	home        home
+	giveUpAfter time.Duration // of the client; 0: until the deadline
 }
 
 // Clients that leave stay for a part of the latency target, from the least to the most.
 const (
-	leastPatience = 0.1
-	mostPatience  = 0.5
+	minGiveUpPart = 0.1
+	maxGiveUpPart = 0.5
 )
 
 // run sends the day's requests, spaced at random, until the context ends, and waits
@@ -85,8 +85,8 @@
 	a := arrival{tenant: tenant, pause: pause, sequence: l.sequence}
 	a.home = home{l.rng.IntN(len(l.fleet.spec.Zones)), l.rng.IntN(clientsPerZone)}
 	if l.rng.Float64() < l.leaving {
-		part := leastPatience + (mostPatience-leastPatience)*l.rng.Float64()
-		a.patience = time.Duration(part * class.TargetMs * float64(time.Millisecond))
+		part := minGiveUpPart + (maxGiveUpPart-minGiveUpPart)*l.rng.Float64()
+		a.giveUpAfter = time.Duration(part * class.TargetMs * float64(time.Millisecond))
 	}
 	return a
 }
@@ -133,10 +133,10 @@
 		id: func(attempt int) string {
 			return fmt.Sprintf("%08x%04x%04x", a.sequence, attempt, l.fleet.spec.Seed&0xffff)
 		},
-		key:      func() string { return l.fleet.operator.key(a.tenant.Name) },
-		patience: a.patience,
-		keeps:    true,
-		events:   &loggedAttempts{l.fleet.log, class, a.tenant.Name},
+		key:         func() string { return l.fleet.operator.key(a.tenant.Name) },
+		giveUpAfter: a.giveUpAfter,
+		keeps:       true,
+		events:      &loggedAttempts{l.fleet.log, class, a.tenant.Name},
 	})
 	if !gaveUp { // what a client gives up early is not owed
 		l.counter.Add(class, l.fleet.since(begun), status, attempts, time.Since(begun))
@@ -165,5 +165,5 @@
 }
 
 func (e *loggedAttempts) left(id string)         { e.log.Left(id) }
-func (e *loggedAttempts) cut(id string)          { e.log.Cut(id) }
+func (e *loggedAttempts) aborted(id string)      { e.log.Aborted(id) }
 func (e *loggedAttempts) arrived(id string) bool { return e.log.HasArrived(id) }
--- a/lab/emulator/requestreader.go
+++ b/lab/emulator/requestreader.go
@@ -14,7 +14,7 @@
 type requestReader struct {
 	conn     net.Conn
 	requests chan *exchange
-	gone     chan struct{} // closed when the connection has ended
+	ended    chan struct{} // closed when the connection has ended
 	stopped  chan struct{} // closed when nobody takes requests any more
 
 	mu        sync.Mutex
@@ -26,7 +26,7 @@
 	r := &requestReader{
 		conn:     conn,
 		requests: make(chan *exchange),
-		gone:     make(chan struct{}),
+		ended:    make(chan struct{}),
 		stopped:  make(chan struct{}),
 		pending:  1,
 	}
@@ -37,7 +37,7 @@
 // run reads requests until the connection ends, or nobody takes them any more.
 func (r *requestReader) run() {
 	defer close(r.requests)
-	defer close(r.gone)
+	defer close(r.ended)
 	in := bufio.NewReader(r.conn)
 	for {
 		if _, err := in.Peek(1); err != nil {
@@ -48,7 +48,7 @@
 		if err != nil {
 			return
 		}
-		x := &exchange{conn: r.conn, gone: r.gone, rested: rested, head: head, body: body, id: head.Get("Attempt-Id")}
+		x := &exchange{conn: r.conn, ended: r.ended, rested: rested, head: head, body: body, id: head.Get("Attempt-Id")}
 		select {
 		case r.requests <- x:
 		case <-r.stopped:
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -10,12 +10,14 @@
 
 // Shape is the size of a day.
 type Shape struct {
-	Machines int     // processes, spread over three zones
+	Machines int     // processes, a multiple of Zones
 	LengthS  float64 // of traffic
 }
 
+// Zones is how many zones a day has. They are of one size.
+const Zones = 3
+
 const (
-	zones     = 3
 	seedShift = 0x50a4 // separates these draws from others of the same seed
 
 	// requestsPerMachine is how many requests a second come for each machine, up to maxRequests in all.
@@ -33,7 +35,7 @@
 		Seed:    seed,
 		LengthS: shape.LengthS,
 		Zones:   []string{"north", "south", "east"},
-		PerZone: max(1, shape.Machines/zones),
+		PerZone: max(1, shape.Machines/Zones),
 		Services: []scenario.Service{
 			{Name: "search", Servers: servers(perS*0.75, 60), Slots: 2, Queue: 8, WarmupS: 1},
 			{Name: "filing", Servers: servers(perS*0.25, 80), Slots: 2, Queue: 8, WarmupS: 1},
@@ -72,7 +74,7 @@
 	}
 }
 
-// drawFaults draws the series of a day, and leaving clients throughout. Up to four series run at any time.
+// drawFaults draws the series of a day, and leaving clients throughout.
 func drawFaults(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	faults := []scenario.Fault{{
 		Kind: scenario.LeavingClients, AtS: 0, ForS: day.LengthS, Factor: 0.1 + 0.3*rng.Float64(),
@@ -83,8 +85,8 @@
 	for _, part := range parts {
 		faults = append(faults, part(rng, day)...)
 	}
-	within := func(f scenario.Fault) bool { return f.AtS > day.LengthS }
-	faults = slices.DeleteFunc(faults, within)
+	afterTheDay := func(f scenario.Fault) bool { return f.AtS > day.LengthS }
+	faults = slices.DeleteFunc(faults, afterTheDay)
 	slices.SortStableFunc(faults, func(a, b scenario.Fault) int { return cmp.Compare(a.AtS, b.AtS) })
 	return faults
 }
@@ -95,7 +97,7 @@
 }
 
 // some draws a number of machines: from one to a third of them.
-func some(rng *rand.Rand, day *scenario.Day) int { return 1 + rng.IntN(max(1, day.PerZone*zones/3)) }
+func some(rng *rand.Rand, day *scenario.Day) int { return 1 + rng.IntN(max(1, day.PerZone*Zones/3)) }
 
 // restarts has machines end in order one after the other, mostly before the one before is back.
 func restarts(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
@@ -185,7 +187,7 @@
 func lostProcesses(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	kinds := []scenario.Fault{
 		{Kind: scenario.KillNodes, Count: 1, ForS: 1},
-		{Kind: scenario.KillNodes, Count: (day.PerZone*zones + 1) / 2, ForS: 0.5},
+		{Kind: scenario.KillNodes, Count: (day.PerZone*Zones + 1) / 2, ForS: 0.5},
 		{Kind: scenario.KillAllNodes, ForS: 0.5},
 		{Kind: scenario.FreezeNodes, Count: 1, ForS: 1.5},
 		{Kind: scenario.RaceChanges, ForS: 0.8},
--- a/lab/soak/runner.go
+++ b/lab/soak/runner.go
@@ -67,11 +67,11 @@
 	if !r.Passed() {
 		verdict = "BROKEN"
 	}
+	ends := r.Report.Ends
 	_, err := fmt.Fprintf(w, "seed %d: %s; %d machines, %d requests, served %.3f, in aim %.3f, %d missed changes, "+
 		"%d clients left, %d of %d runs went on, %d cut, %.0f s\n",
 		r.Seed, verdict, r.Shape.Machines, r.Report.Requests(), r.Report.Served(), r.Report.InTarget(),
-		r.Report.MissedChanges, r.Report.Ends.Left, r.Report.Ends.WentOn, r.Report.Ends.Lasting, r.Report.Ends.Cut,
-		r.Took.Seconds())
+		r.Report.MissedChanges, ends.Left, ends.Continued, ends.LongRuns, ends.Aborted, r.Took.Seconds())
 	if err != nil || r.Passed() {
 		return err
 	}
