--- a/cmd/elmspan-balancer/main.go
+++ b/cmd/elmspan-balancer/main.go
@@ -14,6 +14,7 @@
 	"syscall"
 
 	"example.org/elmspan/balancer/node"
+	"example.org/elmspan/internal/hangup"
 )
 
 const (
@@ -29,10 +30,6 @@
 }
 
 func run() error {
-	// From the very start on: Go's default action on SIGHUP ends the program, and
-	// with it all requests in hand.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	cfg, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
@@ -49,7 +46,7 @@
 		return err
 	}
 	go func() {
-		for range hup {
+		for range hangup.Signals() {
 			n.Reload()
 		}
 	}()
--- a/cmd/elmspan/gateway.go
+++ b/cmd/elmspan/gateway.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"example.org/elmspan/internal/hangup"
 	"example.org/elmspan/internal/loglimit"
 	"example.org/elmspan/process"
 	"example.org/elmspan/settings"
@@ -33,9 +34,6 @@
 
 // Run runs the process until SIGTERM.
 func (c *gatewayCmd) Run() (failed error) {
-	// First of all: Go's default action on SIGHUP ends the program.
-	hup := make(chan os.Signal, 1)
-	signal.Notify(hup, syscall.SIGHUP)
 	runtime.GOMAXPROCS(1) // a process has a share of one core; more would only cost memory
 	debug.SetGCPercent(gcPercent)
 	if c.Settings == "" {
@@ -67,7 +65,7 @@
 		return err
 	}
 	go func() { // ends with the program
-		for range hup {
+		for range hangup.Signals() {
 			p.Reload()
 		}
 	}()
--- a/cmd/elmspan/main.go
+++ b/cmd/elmspan/main.go
@@ -11,6 +11,8 @@
 
 	"github.com/alecthomas/kong"
 	"github.com/willabides/kongplete"
+
+	"example.org/elmspan/internal/hangup"
 )
 
 // commands is the command line.
@@ -32,6 +34,9 @@
 	InstallCompletions kongplete.InstallCompletions `cmd:"" help:"Print what makes the shell complete commands."`
 }
 
+// gatewayCommand is the command of the process that reads its settings again at SIGHUP.
+const gatewayCommand = "gateway"
+
 // errRule ends the program with exit code 3.
 var errRule = errors.New("a rule was broken")
 
@@ -62,6 +67,9 @@
 	kongplete.Complete(parser) // ends here where a shell asks
 	command, err := parser.Parse(os.Args[1:])
 	parser.FatalIfErrorf(err)
+	if command.Command() != gatewayCommand {
+		hangup.Release() // nothing is read again
+	}
 	err = command.Run()
 	switch {
 	case errors.Is(err, errRule):
