Judge and soak see quotas: limits in time, who admitted what, tenants beyond their limits

Each limit now counts from its sending until it can be in force no more. Checks stay as strict: requests count by their runs, as before.

--- a/lab/checker/connections.go
+++ b/lab/checker/connections.go
@@ -43,6 +43,7 @@
 type machineLog struct {
 	disturbed  []span          // kills and freezes, with the time until it is in touch again
 	terminated []time.Duration // when it got SIGTERM
+	started    []time.Duration // when its process was started
 }
 
 // Disturbed notes that a machine is killed or stands still for a time from now on: rules with a bound don't hold for
--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -59,16 +59,15 @@
 	firsts          map[string][]float64       // by service, when one came for the first time
 	draining        map[string]time.Duration   // since when the list shows a member as draining or gone
 	revoked         map[string]time.Duration   // keys, since the acknowledgement
-	quotas          map[string]quota
+	limits          map[string][]limitPeriod   // by tenant, in the order of their configurations
+	acknowledged    []time.Duration            // when configurations were
+	quotaUse        []QuotaUse                 // by Finish
 	machines        map[string]*machineLog
 	ends            Ends // by Finish
 	violations      []string
 	violationCounts map[string]int // by rule
 }
 
-// quota is a tenant's, in requests a second and requests.
-type quota struct{ rate, burst float64 }
-
 // Attempt is one attempt of a client.
 type Attempt struct {
 	Class  *scenario.Class
@@ -106,7 +105,7 @@
 		firsts:          map[string][]float64{},
 		draining:        map[string]time.Duration{},
 		revoked:         map[string]time.Duration{},
-		quotas:          map[string]quota{},
+		limits:          map[string][]limitPeriod{},
 		machines:        map[string]*machineLog{},
 		violationCounts: map[string]int{},
 	}
@@ -142,13 +141,6 @@
 	l.revoked[key] = l.clock()
 }
 
-// Quota notes a tenant's quota in requests a second and its burst. A rate of 0 is no limit.
-func (l *Log) Quota(tenant string, rate, burst float64) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.quotas[tenant] = quota{rate, burst}
-}
-
 // Sent notes that a client sends an attempt.
 func (l *Log) Sent(id string, a *Attempt) {
 	l.mu.Lock()
@@ -230,17 +222,13 @@
 func (l *Log) Finish() {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	startsOf := map[string][]float64{} // by tenant, in seconds
-	for id, runs := range l.runs {
+	for id := range l.runs {
 		attempt := l.sent[id]
 		if !attempt.Class.Idempotent() && saysNotExecuted(attempt.status) {
 			l.violation(ruleRefused, "%s was answered %d and has run", id, attempt.status)
 		}
-		startsOf[attempt.Tenant] = append(startsOf[attempt.Tenant], runs[0].at.Seconds())
-	}
-	for tenant, starts := range startsOf {
-		l.checkQuota(tenant, starts)
 	}
+	l.checkQuotas()
 	l.checkConnections()
 	for _, service := range slices.Sorted(maps.Keys(l.retries)) {
 		l.checkRetryBudget(service)
@@ -257,28 +245,6 @@
 	return false
 }
 
-// checkQuota checks a tenant's quota in each window that ends with a run. Called under
-// the mutex.
-func (l *Log) checkQuota(tenant string, starts []float64) {
-	q := l.quotas[tenant]
-	if q.rate <= 0 {
-		return
-	}
-	slices.Sort(starts)
-	limit := (q.rate*QuotaWindowS+q.burst)*(1+QuotaOvershoot) + QuotaSlack
-	oldest := 0
-	for newest, end := range starts {
-		for end-starts[oldest] > QuotaWindowS {
-			oldest++
-		}
-		if n := float64(newest - oldest + 1); n > limit {
-			l.violation(ruleQuota, "%s ran %.0f requests in %v s up to %.1f s, %.0f are the most",
-				tenant, n, QuotaWindowS, end, limit)
-			return
-		}
-	}
-}
-
 // checkRetryBudget checks the retries at a service in each window that ends with one.
 // Called under the mutex.
 func (l *Log) checkRetryBudget(service string) {
--- a/lab/checker/log_test.go
+++ b/lab/checker/log_test.go
@@ -5,6 +5,7 @@
 	"testing"
 	"time"
 
+	"example.org/elmspan/api"
 	"example.org/elmspan/lab/scenario"
 )
 
@@ -50,7 +51,7 @@
 			}
 		},
 		"QUOTA": func(l *Log) {
-			l.quotas["t"] = quota{10, 10}
+			l.QuotasSent(1, []api.Tenant{{Name: "t", Rate: 10, Burst: 10}})
 			for i := range 90 {
 				id := fmt.Sprint("q", i)
 				l.Sent(id, &Attempt{Class: lookup, Tenant: "t"})
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -33,9 +33,10 @@
 	Violations      []string       // the first broken rules, as they were seen
 	ViolationCounts map[string]int // by rule
 	Ends            Ends
-	UnexpectedExits int      // processes that ended by themselves
-	MissedChanges   int      // configurations that were never acknowledged
-	Notes           []string // what else there is to know, a line each
+	QuotaUse        []QuotaUse // of each tenant with a limit, by name
+	UnexpectedExits int        // processes that ended by themselves
+	MissedChanges   int        // configurations that were never acknowledged
+	Notes           []string   // what else there is to know, a line each
 }
 
 // Counts are requests by what became of them.
@@ -122,6 +123,7 @@
 		Violations:      slices.Clone(l.violations),
 		ViolationCounts: maps.Clone(l.violationCounts),
 		Ends:            l.ends,
+		QuotaUse:        slices.Clone(l.quotaUse),
 	}
 }
 
@@ -171,6 +173,16 @@
 	return float64(sum) / float64(max(1, within))
 }
 
+// NearestQuota is the quota that came nearest to its bound; false where no tenant has a limit.
+func (r *Report) NearestQuota() (nearest QuotaUse, limited bool) {
+	for _, u := range r.QuotaUse {
+		if !limited || u.Share() > nearest.Share() {
+			nearest, limited = u, true
+		}
+	}
+	return nearest, limited
+}
+
 // Write writes the report as text. An error is one of w.
 func (r *Report) Write(w io.Writer) error {
 	table := tabwriter.NewWriter(w, 0, 0, 2, ' ', tabwriter.AlignRight)
@@ -205,6 +217,10 @@
 	fmt.Fprintf(&b, "%d clients left, %d of %d lasting runs went on, %d came late; "+
 		"%d connections cut, %d lost; %d denied\n",
 		e.Left, e.Continued, e.LongRuns, e.ArrivedLate, e.Aborted, e.Lost, e.Denied)
+	if u, limited := r.NearestQuota(); limited {
+		fmt.Fprintf(&b, "nearest to its quota: %s, %d of %.0f in %v s up to %.1f s\n",
+			u.Tenant, u.Ran, u.Allowed, QuotaWindowS, u.EndS)
+	}
 	for _, n := range r.Notes {
 		fmt.Fprintln(&b, n)
 	}
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -16,8 +16,10 @@
 	minShare    = 0.03
 	minSlowdown = 2.0
 	minHot      = 2.0
-	minFlapS    = 0.2
-	minForgetS  = 0.05
+
+	minQuotaFactor = 0.02 // of a tenant's first limit
+	minFlapS       = 0.2
+	minForgetS     = 0.05
 
 	throttlePeriod   = 100 * time.Millisecond
 	maxThrottleShare = 0.9
@@ -106,7 +108,10 @@
 		}}
 	},
 	scenario.HotTenant: func(day *scenario.Day, s *scenario.Fault) fault {
-		return hotTenant{day.Tenants[0].Name, max(minHot, s.Factor), duration(s)}
+		return hotTenant{tenantOf(day, s), max(minHot, s.Factor), duration(s)}
+	},
+	scenario.ChangeQuota: func(day *scenario.Day, s *scenario.Fault) fault {
+		return changeQuota{tenantOf(day, s), max(minQuotaFactor, s.Factor)}
 	},
 	scenario.LeavingClients: func(_ *scenario.Day, s *scenario.Fault) fault {
 		return leavingClients{max(minShare, s.Factor), duration(s)}
@@ -123,6 +128,14 @@
 // count is how many a fault strikes, one where the file says nothing.
 func count(s *scenario.Fault) int { return max(1, s.Count) }
 
+// tenantOf is the tenant that a fault is about.
+func tenantOf(day *scenario.Day, s *scenario.Fault) string {
+	if s.Tenant == "" {
+		return day.Tenants[0].Name
+	}
+	return s.Tenant
+}
+
 // duration is how long a fault lasts.
 func duration(s *scenario.Fault) time.Duration { return seconds(max(s.ForS, minDuration)) }
 
@@ -330,7 +343,18 @@
 func (h hotTenant) Inject(ctx context.Context, f *Fleet) {
 	f.load.setHot(h.name, h.factor)
 	backoff.Sleep(ctx, h.duration)
-	f.load.setHot("", 1)
+	f.load.endHot(h.name)
+}
+
+// changeQuota gives a tenant another limit.
+type changeQuota struct {
+	tenant string
+	factor float64 // of its first limit
+}
+
+// Inject implements fault.
+func (q changeQuota) Inject(ctx context.Context, f *Fleet) {
+	f.operator.changeQuota(ctx, q.tenant, q.factor)
 }
 
 // leavingClients has a share of the clients leave before they are answered, for a time.
--- a/lab/emulator/fleet.go
+++ b/lab/emulator/fleet.go
@@ -122,6 +122,7 @@
 		return nil, err
 	}
 	f.startClock()
+	f.log.TrafficStarts()
 	f.printf("all ready; traffic for %.0f s", f.spec.LengthS)
 	for _, fault := range f.faults {
 		tasks.Go(func() { f.strike(running, fault) })
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -124,6 +124,15 @@
 	l.hot, l.hotFactor = tenant, factor
 }
 
+// endHot has a tenant send its usual again, unless another one is hot by now.
+func (l *load) endHot(tenant string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.hot == tenant {
+		l.hot, l.hotFactor = "", 1
+	}
+}
+
 // request is one client's request, with its retries.
 func (l *load) request(class *scenario.Class, a arrival) {
 	begun := time.Now()
--- a/lab/emulator/node.go
+++ b/lab/emulator/node.go
@@ -101,6 +101,7 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.current, n.ordered = process, false
+	n.log.Started(n.front)
 	return process.cmd.Start()
 }
 
--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -40,6 +40,7 @@
 	keyInUse map[string]string   // the one that a tenant's clients use
 	issued   int                 // keys beside each tenant's first
 	timeout  float64             // factor on the routes' time-outs
+	quotas   map[string]float64  // factors on the tenants' first limits; none: 1
 	missed   int                 // changes that were never acknowledged
 	acks     []time.Duration     // how long each acknowledgement took
 }
@@ -50,6 +51,7 @@
 		http:     http.Client{Timeout: callTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
 		keys:     map[string][]string{},
 		keyInUse: map[string]string{},
+		quotas:   map[string]float64{},
 		timeout:  1,
 	}
 	for _, t := range f.spec.Tenants {
@@ -105,9 +107,11 @@
 	}
 	for _, t := range day.Tenants {
 		rate := day.Rate(&t)
+		if factor, changed := o.quotas[t.Name]; changed {
+			rate *= factor
+		}
 		keys := slices.Clone(o.keys[t.Name])
 		c.Tenants = append(c.Tenants, api.Tenant{Name: t.Name, Keys: keys, Rate: rate, Burst: rate})
-		o.fleet.log.Quota(t.Name, rate, rate)
 	}
 	return c
 }
@@ -127,6 +131,14 @@
 	return o.bring(ctx)
 }
 
+// changeQuota brings a configuration in which a tenant's limit is so many times its first one.
+func (o *operator) changeQuota(ctx context.Context, tenant string, factor float64) bool {
+	o.mu.Lock()
+	o.quotas[tenant] = factor
+	o.mu.Unlock()
+	return o.bring(ctx)
+}
+
 // bring sends the configuration until it is acknowledged.
 func (o *operator) bring(ctx context.Context) bool {
 	o.bringing.Lock()
@@ -136,6 +148,7 @@
 	if err != nil {
 		return false
 	}
+	o.fleet.log.QuotasSent(c.Revision, c.Tenants)
 	begun := time.Now()
 	for i := range maxCalls {
 		if ctx.Err() != nil {
@@ -161,6 +174,7 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.base, o.body, o.acks = revision, body, append(o.acks, took)
+	o.fleet.log.QuotasAcknowledged(revision)
 }
 
 // miss notes a change that was not acknowledged.
@@ -197,6 +211,7 @@
 			return
 		}
 		racers[i].revision, racers[i].body = c.Revision, body
+		o.fleet.log.QuotasSent(c.Revision, c.Tenants)
 	}
 	for i := range racers {
 		both.Go(func() { o.compete(ctx, base, &racers[i]) })
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -9,11 +9,12 @@
 // field means depends on the kind; a figure of 0 is the least that the kind knows.
 type Fault struct {
 	Kind   FaultKind `toml:"kind"`
-	AtS    float64   `toml:"at"`    // when it strikes, from the start of traffic
-	ForS   float64   `toml:"for_s"` // how long it lasts, or the pause between two that it strikes
-	Count  int       `toml:"count"` // how many limiters or servers it strikes; 0: one
-	Factor float64   `toml:"x"`     // how much, how often, or which share of answers
-	Mode   string    `toml:"how"`   // of GreyServers: one of GreyModes
+	AtS    float64   `toml:"at"`     // when it strikes, from the start of traffic
+	ForS   float64   `toml:"for_s"`  // how long it lasts, or the pause between two that it strikes
+	Count  int       `toml:"count"`  // how many limiters or servers it strikes; 0: one
+	Factor float64   `toml:"x"`      // how much, how often, or which share of answers
+	Mode   string    `toml:"how"`    // of GreyServers: one of GreyModes
+	Tenant string    `toml:"tenant"` // of HotTenant and ChangeQuota: whose; empty: the first one's
 }
 
 // FaultKind is a kind of fault, as a day's file names it.
@@ -54,7 +55,8 @@
 const (
 	// LeavingClients: a share Factor of the clients leaves within half of the latency target.
 	LeavingClients FaultKind = "give_up"
-	HotTenant      FaultKind = "hot_tenant" // the first tenant sends Factor times its usual
+	HotTenant      FaultKind = "hot_tenant" // a tenant sends Factor times its usual
+	ChangeQuota    FaultKind = "quota"      // a tenant's limit is from now on Factor times its first
 	ChangeConfig   FaultKind = "config"     // another configuration is brought
 	InvalidConfig  FaultKind = "bad_config" // configurations are brought that must be rejected
 	RevokeKey      FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
@@ -101,6 +103,7 @@
 	SlowZone:          {simulation: true},
 	LeavingClients:    {emulator: true},
 	HotTenant:         {emulator: true, simulation: true},
+	ChangeQuota:       {emulator: true},
 	ChangeConfig:      {emulator: true},
 	InvalidConfig:     {emulator: true},
 	RevokeKey:         {emulator: true},
--- a/lab/scenario/scenario.go
+++ b/lab/scenario/scenario.go
@@ -204,6 +204,9 @@
 		if f.Kind == GreyServers && !slices.Contains(GreyModes, f.Mode) {
 			errs = append(errs, fmt.Errorf("troubles.%d.how: %q: one of %s", i, f.Mode, strings.Join(GreyModes, ", ")))
 		}
+		if f.Tenant != "" && d.Tenant(f.Tenant) == nil {
+			errs = append(errs, fmt.Errorf("troubles.%d.tenant: %q is none of tenants", i, f.Tenant))
+		}
 		if f.AtS < 0 || f.AtS > d.LengthS {
 			errs = append(errs, fmt.Errorf("troubles.%d.at: %v is not within the day", i, f.AtS))
 		}
--- a/lab/scenario/scenario_test.go
+++ b/lab/scenario/scenario_test.go
@@ -17,6 +17,7 @@
 		"unknown service": func(d *Day) { d.Classes[0].Service = "x" },
 		"unknown fault":   func(d *Day) { d.Faults[0].Kind = "x" },
 		"fault too late":  func(d *Day) { d.Faults[0].AtS = 1e6 },
+		"unknown tenant":  func(d *Day) { d.Faults[0].Tenant = "x" },
 		"nobody asks":     func(d *Day) { d.Tenants = nil },
 	} {
 		day := readFleet(t)
--- a/lab/simulation/fleet.go
+++ b/lab/simulation/fleet.go
@@ -105,7 +105,7 @@
 		t := &f.day.Tenants[i]
 		rate := f.day.Rate(t)
 		f.plans[quota.TenantID(t.Name)] = quota.Plan{Rate: rate, Burst: rate}
-		f.log.Quota(t.Name, rate, rate)
+		f.log.QuotasSent(1, []api.Tenant{{Name: t.Name, Rate: rate, Burst: rate}})
 	}
 }
 
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -41,13 +41,9 @@
 			{Name: "filing", Servers: servers(perS*0.25, 80), Slots: 2, Queue: 8, WarmupS: 1},
 		},
 		Classes: classes(perS),
-		Tenants: []scenario.Tenant{
-			{Name: "large", Share: 5, QuotaFactor: 2},
-			{Name: "middle", Share: 3, QuotaFactor: 2},
-			{Name: "small", Share: 1, QuotaFactor: 3},
-		},
 	}
 	rng := rand.New(rand.NewPCG(seed, seedShift))
+	day.Tenants = tenants(rng)
 	day.Keys = rng.IntN(4) == 0
 	day.Faults = drawFaults(rng, day)
 	return day
@@ -74,13 +70,27 @@
 	}
 }
 
+// tenants draws how much of what they ask for is within the tenants' limits: mostly a part of it, so that their quotas
+// are used up all day. The last one has room.
+func tenants(rng *rand.Rand) []scenario.Tenant {
+	all := []scenario.Tenant{
+		{Name: "large", Share: 5}, {Name: "middle", Share: 3}, {Name: "third", Share: 2},
+		{Name: "fourth", Share: 1}, {Name: "fifth", Share: 1}, {Name: "small", Share: 1, QuotaFactor: 3},
+	}
+	factors := []float64{0.06, 0.12, 0.25, 0.5, 0.8, 1.2, 2}
+	for i := range all[:len(all)-1] {
+		all[i].QuotaFactor = factors[rng.IntN(len(factors))]
+	}
+	return all
+}
+
 // drawFaults draws the series of a day, and leaving clients throughout.
 func drawFaults(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	faults := []scenario.Fault{{
 		Kind: scenario.LeavingClients, AtS: 0, ForS: day.LengthS, Factor: 0.1 + 0.3*rng.Float64(),
 	}}
 	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{
-		restarts, reloads, changes, badServers, lostProcesses, throttled,
+		restarts, reloads, changes, badServers, lostProcesses, herdKills, throttled, quotaChanges, hotTenants,
 	}
 	for _, part := range parts {
 		faults = append(faults, part(rng, day)...)
@@ -171,6 +181,39 @@
 	return faults
 }
 
+// herdKills has up to six in ten processes be killed at once, again and again, on a third of the days: what they knew
+// of the quotas is gone with them.
+func herdKills(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(3) > 0 {
+		return nil
+	}
+	most := day.PerZone * Zones * 6 / 10
+	return series(rng, day, 2+rng.IntN(4), 1.5, func() scenario.Fault {
+		return scenario.Fault{Kind: scenario.KillNodes, Count: 1 + rng.IntN(max(1, most)), ForS: 0.5}
+	})
+}
+
+// quotaChanges has limits be lowered far below what is sent, raised, and put back.
+func quotaChanges(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	factors := []float64{0.1, 0.3, 1, 3}
+	return series(rng, day, 1+rng.IntN(5), 1.5, func() scenario.Fault {
+		tenant := day.Tenants[rng.IntN(len(day.Tenants))].Name
+		return scenario.Fault{Kind: scenario.ChangeQuota, Tenant: tenant, Factor: factors[rng.IntN(len(factors))]}
+	})
+}
+
+// hotTenants has tenants that are not the largest rest with full buckets and then send many times their usual.
+func hotTenants(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	var faults []scenario.Fault
+	for range 1 + rng.IntN(3) {
+		faults = append(faults, scenario.Fault{
+			Kind: scenario.HotTenant, Tenant: day.Tenants[2+rng.IntN(len(day.Tenants)-2)].Name,
+			AtS: begin(rng, day), ForS: 1 + 4*rng.Float64(), Factor: 4 + 8*rng.Float64(),
+		})
+	}
+	return faults
+}
+
 // throttled has machines spend their processor time early in each tenth of a second, on half of the days.
 func throttled(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	if rng.IntN(2) == 0 {
--- a/lab/soak/day_test.go
+++ b/lab/soak/day_test.go
@@ -20,11 +20,12 @@
 }
 
 // Every day can be emulated and has what a soak is for: machines that restart, reload and get new configurations in
-// series, servers that are slow, and clients that leave. Over the seeds everything that the emulator can play strikes,
-// but for a hot tenant.
+// series, servers that are slow, tenants that ask for more than their limits, which change, and clients that leave.
+// Over the seeds everything that the emulator can play strikes.
 func TestDaysHaveEverything(t *testing.T) {
 	always := []scenario.FaultKind{
 		scenario.LeavingClients, scenario.RestartNodes, scenario.ReloadNodes, scenario.SlowServers,
+		scenario.ChangeQuota, scenario.HotTenant,
 	}
 	seen := map[scenario.FaultKind]bool{}
 	for seed := range uint64(200) {
@@ -46,8 +47,7 @@
 		}
 	}
 	for _, kind := range scenario.FaultKinds() {
-		wanted := (&scenario.Fault{Kind: kind}).Emulated() && kind != scenario.HotTenant
-		if seen[kind] != wanted {
+		if wanted := (&scenario.Fault{Kind: kind}).Emulated(); seen[kind] != wanted {
 			t.Errorf("%s strikes: %v, want %v", kind, seen[kind], wanted)
 		}
 	}
@@ -72,3 +72,23 @@
 		t.Errorf("on %d of %d days faults overlap", overlapping, seeds)
 	}
 }
+
+// On most days some tenants ask for more than their limits all day: only then is the rule on quotas near its bound.
+func TestTenantsAskForMoreThanTheirLimits(t *testing.T) {
+	const seeds = 200
+	days := 0
+	for seed := range uint64(seeds) {
+		beyond := 0
+		for _, tenant := range Day(seed, shape).Tenants {
+			if tenant.QuotaFactor < 0.8 {
+				beyond++
+			}
+		}
+		if beyond >= 2 {
+			days++
+		}
+	}
+	if days < seeds*8/10 {
+		t.Errorf("on %d of %d days two tenants ask for more than their limits", days, seeds)
+	}
+}
--- a/lab/soak/runner.go
+++ b/lab/soak/runner.go
@@ -68,10 +68,15 @@
 		verdict = "BROKEN"
 	}
 	ends := r.Report.Ends
+	nearest, limited := r.Report.NearestQuota()
+	share := 0.0
+	if limited {
+		share = nearest.Share()
+	}
 	_, err := fmt.Fprintf(w, "seed %d: %s; %d machines, %d requests, served %.3f, in aim %.3f, %d missed changes, "+
-		"%d clients left, %d of %d runs went on, %d cut, %.0f s\n",
+		"%d clients left, %d of %d runs went on, %d cut, nearest quota %.2f, %.0f s\n",
 		r.Seed, verdict, r.Shape.Machines, r.Report.Requests(), r.Report.Served(), r.Report.InTarget(),
-		r.Report.MissedChanges, ends.Left, ends.Continued, ends.LongRuns, ends.Aborted, r.Took.Seconds())
+		r.Report.MissedChanges, ends.Left, ends.Continued, ends.LongRuns, ends.Aborted, share, r.Took.Seconds())
 	if err != nil || r.Passed() {
 		return err
 	}
