--- a/dataplane/metrics.go
+++ b/dataplane/metrics.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"example.org/elmspan/dataplane/balance"
+	"example.org/elmspan/dataplane/quota"
 	"example.org/elmspan/telemetry"
 )
 
@@ -30,6 +31,7 @@
 	}
 	l := g.guarded.limiter
 	locked("elmspan_quota_part", func() float64 { return l.QuotaShare(g.clock.nowMs()) })
+	g.registerQuotaGauges(locked)
 	locked("elmspan_dark_zones", func() float64 { return float64(len(l.UnreachableZones(g.clock.nowMs()))) })
 	locked("elmspan_peers", func() float64 { return float64(l.PeerCount()) })
 	locked("elmspan_peers_told", func() float64 { return float64(l.GossipRecipients()) })
@@ -37,6 +39,24 @@
 	locked("elmspan_servers", func() float64 { return float64(len(l.Members())) })
 }
 
+// registerQuotaGauges shows what was decided on quotas, and how late it is known what peers decided.
+func (g *Gateway) registerQuotaGauges(locked func(name string, read func() float64)) {
+	l := g.guarded.limiter
+	for name, read := range map[string]func(quota.Counters) float64{
+		"elmspan_quota_admitted_total":       func(c quota.Counters) float64 { return float64(c.Admitted) },
+		"elmspan_quota_rejected_empty_total": func(c quota.Counters) float64 { return float64(c.RejectedEmpty) },
+		"elmspan_quota_rejected_paced_total": func(c quota.Counters) float64 { return float64(c.RejectedPaced) },
+		"elmspan_quota_drawn_units_total":    func(c quota.Counters) float64 { return c.Drawn },
+		"elmspan_quota_forgiven_units_total": func(c quota.Counters) float64 { return c.Forgiven },
+		"elmspan_quota_inherited_total":      func(c quota.Counters) float64 { return float64(c.Inherited) },
+	} {
+		locked(name, func() float64 { return read(l.QuotaCounters()) })
+	}
+	locked("elmspan_gossip_lateness_seconds", func() float64 {
+		return millis(l.GossipLatenessMs(g.clock.nowMs())).Seconds()
+	})
+}
+
 // observeResponse counts a response and the time it took. Without metrics it costs a comparison.
 func observeResponse(metrics *telemetry.Metrics, r *request, resp *response) {
 	if metrics == nil {
--- a/dataplane/quota/inherit.go
+++ b/dataplane/quota/inherit.go
@@ -50,6 +50,7 @@
 	if i.balance > 0 {
 		e.refill(now, t)
 		t.balance = max(t.balance, min(i.balance-i.drawn, t.plan.Burst))
+		e.counters.Inherited++
 	}
 	i.balance, i.drawn = 0, 0
 }
--- a/dataplane/quota/peers.go
+++ b/dataplane/quota/peers.go
@@ -36,6 +36,7 @@
 	sameLiveSetAt float64    // the last time when that equalled this limiter's live set
 	removedAt     float64    // 0: it is a member
 	usage         usageTable // reported by it
+	lateness      lateness   // of the messages of this incarnation
 }
 
 // SetMembers replaces the list of the other limiters of the fleet. A limiter that is no
@@ -94,7 +95,9 @@
 	if p.incarnation != incarnation {
 		p.incarnation, p.firstReceived, p.sameLiveSetAt = incarnation, now, now
 		p.usage.clear()
+		p.lateness = lateness{}
 	}
+	p.lateness.observe(now, ageMs)
 	if now-p.lastReceived > e.livenessTimeout() || p.liveSet != liveSet {
 		e.sharing.invalidate()
 	}
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -50,6 +50,7 @@
 	// inheriting is set once this limiter shares with most peers: from then on its buckets
 	// may take over the balances that peers report (inherit.go).
 	inheriting bool
+	counters   Counters
 }
 
 // tenant is a tenant's bucket and usage at this limiter.
@@ -135,13 +136,16 @@
 	}
 	e.refill(now, t)
 	if t.balance < 1 {
+		e.counters.RejectedEmpty++
 		t.pacing.begin(now)
 		return millisPerSecond * bucket.Wait(t.balance, 1, t.plan.Rate*e.currentShare(now)), false
 	}
 	if waitMs, ok := e.paced(now, t); !ok {
+		e.counters.RejectedPaced++
 		return waitMs, false
 	}
 	t.balance--
+	e.counters.Admitted++
 	t.pacing.noteAdmitted(now)
 	t.admitted.total++
 	t.group.total++
@@ -159,7 +163,10 @@
 // draw takes units that others admitted from the bucket, below zero too.
 func (e *Enforcer) draw(now float64, t *tenant, units uint64) {
 	e.refill(now, t)
+	before := t.balance
 	t.balance = bucket.Draw(t.balance, float64(units), -t.plan.Burst-t.plan.Rate)
+	e.counters.Drawn += before - t.balance
+	e.counters.Forgiven += float64(units) - (before - t.balance)
 	t.inherited.noteDrawn(units)
 	t.pacing.noteDrawn(now, units)
 }
--- a/lab/checker/quota.go
+++ b/lab/checker/quota.go
@@ -112,7 +112,7 @@
 	return true
 }
 
-// mostAllowed is the most of a tenant's requests that may run in a window: a window that two limits reach into is judged
+// mostAllowed is the most of a tenant's requests that may run in a window: one that two limits reach into is judged
 // by the higher one. Called under the mutex.
 func (l *Log) mostAllowed(tenant string, window span) float64 {
 	most, limited := 0.0, false
--- a/lab/emulator/fleet.go
+++ b/lab/emulator/fleet.go
@@ -127,9 +127,12 @@
 	for _, fault := range f.faults {
 		tasks.Go(func() { f.strike(running, fault) })
 	}
+	var quotas quotaMetrics
+	tasks.Go(func() { quotas.watch(running, f) })
 	if err := f.serveTraffic(ctx, running, &tasks); err != nil {
 		return nil, err
 	}
+	quotas.note(ctx, f)
 	f.operator.readBack(ctx)
 	return f.report(), ctx.Err()
 }
