--- a/dataplane/limiter/delay_test.go
+++ b/dataplane/limiter/delay_test.go
@@ -22,11 +22,16 @@
 			if err := m.Decode(inFlight[0].bytes); err != nil {
 				panic(err)
 			}
-			f.at[inFlight[0].to].Receive(now, &m)
+			if to := inFlight[0].to; !f.dead[to] {
+				f.at[to].Receive(now, &m)
+			}
 			inFlight = inFlight[1:]
 		}
 		for _, id := range f.ids {
 			l := f.at[id]
+			if f.dead[id] {
+				continue
+			}
 			if f.rng.Float64() < perS*gossip.TickMs/1000/float64(len(f.ids)) {
 				if _, ok := l.Admit(now, tenantID); ok {
 					at = append(at, now)
@@ -43,12 +48,18 @@
 // hotWithDelay has one tenant, calm for 3 s, send so many times its rate to all limiters
 // alike, and requires that the worst 5 s stay in the bound.
 func hotWithDelay(t *testing.T, n int, times, delayMs float64) {
-	t.Run(fmt.Sprint(n, " limiters, ", times, " x, ", delayMs, " ms"), func(t *testing.T) {
+	t.Helper()
+	hotFor(t, n, quota.Plan{Rate: 459, Burst: 459}, times, delayMs, 6000)
+}
+
+// hotFor is hotWithDelay for a tenant with a plan that is hot for a time.
+func hotFor(t *testing.T, n int, p quota.Plan, times, delayMs, hotMs float64) {
+	t.Helper()
+	t.Run(fmt.Sprint(n, " limiters, ", p.Rate, " a second, ", times, " x, ", delayMs, " ms"), func(t *testing.T) {
 		t.Parallel()
-		p := quota.Plan{Rate: 459, Burst: 459}
 		f := newFleet(n, p)
 		at := f.playDelayed(0, 3000, 0.6*p.Rate, delayMs)
-		at = append(at, f.playDelayed(3000, 9000, times*p.Rate, delayMs)...)
+		at = append(at, f.playDelayed(3000, 3000+hotMs, times*p.Rate, delayMs)...)
 		if got := maxInWindow(at); got > bound(p) {
 			t.Errorf("%d in 5 s, %d at most", got, bound(p))
 		}
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -189,6 +189,12 @@
 // QuotaShare is the share of each quota that this limiter may use, from 0 to 1.
 func (l *Limiter) QuotaShare(now float64) float64 { return l.quota.Share(now) }
 
+// QuotaCounters returns what has been decided on quotas since the start.
+func (l *Limiter) QuotaCounters() quota.Counters { return l.quota.Counters() }
+
+// GossipLatenessMs is how late the latest of the last messages of live peers came, beyond the time of the quickest.
+func (l *Limiter) GossipLatenessMs(now float64) float64 { return l.quota.LatenessMs(now) }
+
 // ReportStaleConnection has peers told that a server had closed an idle connection of an age
 // group of connpool without notice: requests that must not run twice then avoid such ones.
 func (l *Limiter) ReportStaleConnection(now float64, age int) {
--- a/dataplane/limiter/limiter_test.go
+++ b/dataplane/limiter/limiter_test.go
@@ -37,6 +37,21 @@
 	return f
 }
 
+// restart has a limiter that was dead begin again, with the list of the others and a plan.
+func (f *fleet) restart(now float64, id uint64, p quota.Plan) {
+	f.dead[id] = false
+	l := New(now, Config{Self: id, Incarnation: id + uint64(now), Zone: zone(id), Seed: id})
+	f.at[id] = l
+	var others []quota.Member
+	for _, other := range f.ids {
+		if other != id {
+			others = append(others, quota.Member{ID: other, Zone: zone(other)})
+		}
+	}
+	l.SetPeers(now, others)
+	l.SetPlans(now, map[uint64]quota.Plan{tenantID: p})
+}
+
 func zone(id uint64) string { return []string{"a", "b", "c"}[id%3] }
 
 // updatePeers gives all limiters the list of those that live.
