--- a/dataplane/gossip/disseminator.go
+++ b/dataplane/gossip/disseminator.go
@@ -14,6 +14,7 @@
 type Disseminator struct {
 	self        quota.Member
 	incarnation uint64
+	startedAt   float64
 	budget      Budget
 
 	// Set by [Disseminator.SetPeers].
@@ -43,9 +44,9 @@
 // it returns.
 type SendFunc func(to uint64, m *Message)
 
-// NewDisseminator returns the disseminator of one start of a limiter, which has no peers yet.
-func NewDisseminator(self quota.Member, incarnation uint64, b Budget) *Disseminator {
-	return &Disseminator{self: self, incarnation: incarnation, budget: b}
+// NewDisseminator returns the disseminator of a limiter that starts now, which has no peers yet.
+func NewDisseminator(now float64, self quota.Member, incarnation uint64, b Budget) *Disseminator {
+	return &Disseminator{self: self, incarnation: incarnation, startedAt: now, budget: b}
 }
 
 // Recipients is the number of limiters that messages are sent to.
@@ -141,7 +142,7 @@
 func (d *Disseminator) fill(now float64, r *recipient, digest quota.Digest) *Message {
 	r.sentAt, r.hintsOfItsZone, r.urgentMs, r.failureHint = now, false, 0, false
 	m := &d.message
-	m.From, m.Incarnation, m.AgeMs = d.self.ID, d.incarnation, now
+	m.From, m.Incarnation, m.AgeMs = d.self.ID, d.incarnation, now-d.startedAt
 	m.Hints = r.takeHints(m.Hints[:0])
 	m.Demand = m.Demand[:0]
 	if r.sameZone && (d.regime < VeryLargeFleet || now-r.demandSentAt >= veryLargeDemandMs) {
--- a/dataplane/gossip/disseminator_test.go
+++ b/dataplane/gossip/disseminator_test.go
@@ -10,7 +10,7 @@
 // one. Fails where what did not fit is taken for sent.
 func TestAllTenantsAreSent(t *testing.T) {
 	t.Parallel()
-	d := NewDisseminator(quota.Member{ID: 1, Zone: "z"}, 1, Budget{})
+	d := NewDisseminator(0, quota.Member{ID: 1, Zone: "z"}, 1, Budget{})
 	r := &recipient{groupMember: true}
 	const n = 100
 	for id := range uint64(n) {
@@ -37,7 +37,7 @@
 // without end, and were then drawn all at once: 417 refusals on a quiet day.)
 func TestNoTenantWaitsBehindOthers(t *testing.T) {
 	r, sent := &recipient{}, map[uint64]int{}
-	d := NewDisseminator(quota.Member{ID: 1, Zone: "z"}, 1, Budget{})
+	d := NewDisseminator(0, quota.Member{ID: 1, Zone: "z"}, 1, Budget{})
 	const tenants, rounds = 4 * maxTenants, 40
 	for round := range uint64(rounds) {
 		var usage []quota.Usage
--- a/dataplane/gossip/fixtures_test.go
+++ b/dataplane/gossip/fixtures_test.go
@@ -20,7 +20,7 @@
 func newTestLimiter(id uint64, peers []quota.Member, b Budget) *testLimiter {
 	self := quota.Member{ID: id, Zone: "a"}
 	l := &testLimiter{
-		Disseminator: NewDisseminator(self, 1, b),
+		Disseminator: NewDisseminator(0, self, 1, b),
 		quotas:       quota.New(0, self),
 		servers:      balance.New(self.Zone, id, 1),
 	}
--- a/dataplane/gossip/topology_test.go
+++ b/dataplane/gossip/topology_test.go
@@ -65,7 +65,7 @@
 
 // disseminatorOf returns one limiter's, with all others for peers.
 func disseminatorOf(all []quota.Member, i int) *Disseminator {
-	d := NewDisseminator(all[i], 1, Budget{})
+	d := NewDisseminator(0, all[i], 1, Budget{})
 	d.SetPeers(slices.Delete(slices.Clone(all), i, i+1), quota.GroupingLevelFor(len(all), 3))
 	return d
 }
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -63,7 +63,7 @@
 		cfg:         cfg,
 		quota:       quota.New(now, self),
 		balance:     balance.New(cfg.Zone, cfg.Self, cfg.Seed),
-		gossip:      gossip.NewDisseminator(self, cfg.Incarnation, cfg.GossipBudget),
+		gossip:      gossip.NewDisseminator(now, self, cfg.Incarnation, cfg.GossipBudget),
 		retryBudget: map[string]float64{},
 		peers:       map[uint64]bool{},
 		downloads:   newDownloadScheduler(cfg.LinkBytesPerSecond / 1000),
