--- a/dataplane/forwarder.go
+++ b/dataplane/forwarder.go
@@ -30,6 +30,7 @@
 	router  *router
 	pool    *connpool.Pool[string]
 	link    *link.Pacer
+	gossip  *gossipHost
 	rules   attempt.Rules // immutable after New; tests plant faults in it
 
 	inFlight atomic.Int64 // requests that are being forwarded
@@ -64,6 +65,7 @@
 
 // begin charges the tenant's quota and begins the request's lifecycle, under one hold of the mutex.
 func (f *forwarder) begin(r *request) (*lifecycle, *response) {
+	f.gossip.catchUp()
 	f.guarded.mu.Lock()
 	l := f.guarded.limiter
 	if r.tenant != nil {
--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -94,7 +94,7 @@
 	}
 	g.forwarder = forwarder{
 		log: o.Log, metrics: o.Metrics, clock: g.clock, guarded: g.guarded, router: &g.router, pool: pool,
-		link: downlink, rules: attempt.DefaultRules(),
+		link: downlink, gossip: &g.gossip, rules: attempt.DefaultRules(),
 		waiting: map[*limiter.RequestState]chan struct{}{},
 	}
 	g.listener = clientListener{
@@ -128,6 +128,7 @@
 	return limiter.Config{
 		Self: self, Incarnation: incarnation, Zone: cfg.Zone, Seed: o.Seed,
 		RetryRatio: cfg.Timing.RetryRatio, RetrySlack: cfg.Timing.RetrySlack,
+		QuotaWindowS:       cfg.Timing.QuotaWindowS,
 		LinkBytesPerSecond: downlink.BulkBytesPerS(),
 		GossipBudget:       gossipCapacity(cfg, o).Budget(),
 	}
--- a/dataplane/gossip.go
+++ b/dataplane/gossip.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"log/slog"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"example.org/elmspan/dataplane/gossip"
@@ -14,8 +16,12 @@
 	"example.org/elmspan/telemetry"
 )
 
-// maxReceivedPerTick is how many messages are taken in at a tick. A flood must not keep the gateway from sending.
-const maxReceivedPerTick = 512
+const (
+	// maxReceivedPerTick is how many messages are taken in at a tick. A flood must not keep the gateway from sending.
+	maxReceivedPerTick = 512
+	// maxReceivePause is how long ago messages were taken in at the most when a request is charged to a quota.
+	maxReceivePause = 50 * time.Millisecond
+)
 
 // gossipHost sends and receives the limiter's gossip messages, one a datagram, sealed where there is a keyring.
 type gossipHost struct {
@@ -30,7 +36,10 @@
 	incarnation uint64
 	unknownPeer func(addr string) // may be nil
 
-	socket *datagram.Socket // of the goroutine in run, once it runs
+	socketMu   sync.Mutex       // taken before guardedLimiter.mu
+	socket     *datagram.Socket // guarded by socketMu, once run runs
+	receiver   *gossipReceiver  // guarded by socketMu
+	receivedAt atomic.Int64     // when messages were last taken in, in ns since the start; 0: run doesn't run
 }
 
 // run takes in what the peers have sent and sends what is new, at each tick, until the context ends. What arrives
@@ -41,21 +50,48 @@
 	t := time.NewTicker(millis(everyMs))
 	defer t.Stop()
 	out := &gossipSender{host: h, plain: make([]byte, 0, gossip.MaxSize), sealer: h.newSealer()}
-	in := newGossipReceiver(h)
+	h.socketMu.Lock()
+	h.receiver = newGossipReceiver(h)
+	h.socketMu.Unlock()
 	for {
 		select {
 		case <-ctx.Done():
+			h.receivedAt.Store(0)
 			return
 		case <-t.C:
 		}
-		in.receiveAll()
-		if nextMs := out.tick(); nextMs != everyMs {
+		if nextMs := h.exchange(out); nextMs != everyMs {
 			everyMs = nextMs
 			t.Reset(millis(everyMs))
 		}
 	}
 }
 
+// exchange takes in and sends what is due at a tick, and returns when the next one is due.
+func (h *gossipHost) exchange(out *gossipSender) (nextMs float64) {
+	h.socketMu.Lock()
+	defer h.socketMu.Unlock()
+	h.receiveAll()
+	return out.tick()
+}
+
+// receiveAll takes in what has come. Called under socketMu.
+func (h *gossipHost) receiveAll() {
+	h.receivedAt.Store(int64(h.guarded.clock.now()))
+	h.receiver.receiveAll()
+}
+
+// catchUp takes in what has come, where the goroutine in run is late: a process that stood still, or whose processor is
+// busy, would go on admitting by what it knew before.
+func (h *gossipHost) catchUp() {
+	receivedAt := time.Duration(h.receivedAt.Load())
+	if receivedAt == 0 || h.guarded.clock.now()-receivedAt <= maxReceivePause || !h.socketMu.TryLock() {
+		return
+	}
+	defer h.socketMu.Unlock()
+	h.receiveAll()
+}
+
 // newSealer returns what seals or opens messages; nil where they are in the clear.
 func (h *gossipHost) newSealer() *keys.Sealer {
 	if h.keyring == nil {
--- a/dataplane/gossip/disseminator.go
+++ b/dataplane/gossip/disseminator.go
@@ -20,6 +20,7 @@
 	// Set by [Disseminator.SetPeers].
 	regime     FleetRegime
 	recipients []*recipient // ordered by id
+	greeting   greeting
 
 	// Connections that servers had closed without a word.
 	staleAge   uint8   // the lowest age of late; 0: none
@@ -61,6 +62,16 @@
 	d.staleUntil = now + staleReportMs
 }
 
+// Introduce has a limiter that has just started be sent the usage of all tenants that are in use, with the next
+// message.
+func (d *Disseminator) Introduce(id uint64) {
+	for _, r := range d.recipients {
+		if r.ID == id {
+			r.introduce = true
+		}
+	}
+}
+
 // Tick collects the updates of quotas and servers and hands the messages that are
 // due to send.
 func (d *Disseminator) Tick(now float64, quotas *quota.Enforcer, servers *balance.Set, send SendFunc) {
@@ -68,9 +79,14 @@
 	changed := d.updateHead(now, quotas)
 	for _, r := range d.recipients {
 		d.addHints(r, servers)
+		if r.introduce && (r.groupMember || r.reportedTo) {
+			r.addUsage(quotas.Introduction(now, !r.groupMember, nil))
+		}
+		r.introduce = false
 		r.addTickUsage(d.usage, digest.Consumed)
 		d.schedule(now, r, changed)
 	}
+	d.greet(now, send)
 	d.sendDue(now, digest, send)
 }
 
--- /dev/null
+++ b/dataplane/gossip/greeting.go
@@ -0,0 +1,82 @@
+package gossip
+
+import "example.org/elmspan/dataplane/quota"
+
+// A limiter that has just started is reported to by limiters of other groups that it sends nothing itself. They learn
+// of its start by a greeting, and tell it where their sums begin: without that it would take the first sum that it
+// receives for the beginning, and leave out the units that came with it.
+const (
+	// greetingMs is how long after its start a limiter greets those that report to it, as it learns of them.
+	greetingMs = 1500.0
+	// seniorityMs is by how much longer others have run where a fleet ran before: one that starts as a whole has no
+	// sums to tell.
+	seniorityMs = 500.0
+	// greetingPauseMs is the time between the first greeting and the second one, against loss.
+	greetingPauseMs = 100.0
+	greetings       = 2
+)
+
+// greeting is what is left of greeting the limiters that report to this one.
+type greeting struct {
+	recipients []uint64
+	wanted     bool // others have run for longer than this limiter
+	left       int  // greetings
+	sentAt     float64
+}
+
+// NoteAge notes the age of a limiter that a message came from.
+func (d *Disseminator) NoteAge(now, ageMs float64) {
+	d.greeting.wanted = d.greeting.wanted || ageMs > now-d.startedAt+seniorityMs
+}
+
+// greetReporters has the limiters of other groups that report to this one be greeted.
+func (d *Disseminator) greetReporters(peers []quota.Member, level quota.GroupingLevel) {
+	byGroup := map[quota.Group][]uint64{}
+	own := level.Group(d.self)
+	for _, p := range peers {
+		if group := level.Group(p); group != own {
+			byGroup[group] = append(byGroup[group], p.ID)
+		}
+	}
+	d.greeting.recipients = d.greeting.recipients[:0]
+	for _, members := range byGroup {
+		d.greeting.recipients = append(d.greeting.recipients, firstReporters(members, d.self.ID)...)
+	}
+	d.greeting.left = greetings
+}
+
+// firstReporters returns those of a group that report to a recipient: reportersPerGroup at most.
+func firstReporters(members []uint64, recipient uint64) (reporters []uint64) {
+	for _, m := range members {
+		before := 0
+		for _, other := range members {
+			if ranksBefore(other, m, recipient) {
+				before++
+			}
+		}
+		if before < reportersPerGroup {
+			reporters = append(reporters, m)
+		}
+	}
+	return reporters
+}
+
+// ranksBefore tells whether one limiter reports to a recipient rather than another one.
+func ranksBefore(one, other, recipient uint64) bool {
+	a, b := reporterRank(one, recipient), reporterRank(other, recipient)
+	return a > b || a == b && one < other
+}
+
+// greet sends the greetings that are due.
+func (d *Disseminator) greet(now float64, send SendFunc) {
+	g := &d.greeting
+	if !g.wanted || g.left == 0 || now-g.sentAt < greetingPauseMs || now-d.startedAt > greetingMs {
+		return
+	}
+	g.left--
+	g.sentAt = now
+	m := Message{From: d.self.ID, Incarnation: d.incarnation, AgeMs: now - d.startedAt, LiveSet: d.message.LiveSet}
+	for _, id := range g.recipients {
+		send(id, &m)
+	}
+}
--- a/dataplane/gossip/recipient.go
+++ b/dataplane/gossip/recipient.go
@@ -20,6 +20,7 @@
 	hinted         bool // is sent loads of servers
 
 	// Pending updates.
+	introduce      bool           // it has just started and needs to know all usage
 	hints          []balance.Hint // ordered by server, the newest of each
 	usage          []quota.Usage  // the newest of each tenant, that first which waits longest
 	hintsOfItsZone bool           // some hints are about servers of its zone
@@ -36,6 +37,7 @@
 // inherit takes over the state of the same limiter before a change of peers.
 func (r *recipient) inherit(previous *recipient) {
 	r.sentAt, r.reportedAt, r.demandSentAt = previous.sentAt, previous.reportedAt, previous.demandSentAt
+	r.introduce = previous.introduce
 	if previous.groupMember == r.groupMember { // pending usage is of the same kind
 		r.usage, r.hints = previous.usage, previous.hints
 	}
--- a/dataplane/gossip/topology.go
+++ b/dataplane/gossip/topology.go
@@ -29,6 +29,7 @@
 	peers = slices.SortedFunc(slices.Values(peers), func(a, b quota.Member) int { return cmp.Compare(a.ID, b.ID) })
 	d.regime = RegimeOf(len(peers))
 	reports := d.reports(peers, level)
+	d.greetReporters(peers, level)
 	neighbors := d.neighbors(peers)
 	previous := map[uint64]*recipient{}
 	for _, r := range d.recipients {
@@ -82,10 +83,9 @@
 // reporterPlace is this limiter's place among the reporters of its group to a recipient,
 // from 1; all places after reportersPerGroup are returned as the next one.
 func (d *Disseminator) reporterPlace(groupMembers []uint64, recipient uint64) int {
-	place, own := 1, reporterRank(d.self.ID, recipient)
+	place := 1
 	for _, member := range groupMembers {
-		rank := reporterRank(member, recipient)
-		if rank < own || rank == own && member < d.self.ID {
+		if !ranksBefore(member, d.self.ID, recipient) {
 			continue
 		}
 		if place++; place > reportersPerGroup {
--- a/dataplane/limiter/exceeded_test.go
+++ b/dataplane/limiter/exceeded_test.go
@@ -8,7 +8,7 @@
 
 // A fleet of 90 processes gave a tenant 154 requests in 5 s where 153 are allowed, while six in ten of them were killed
 // four times and tenants asked for several times their limits. A process that starts again takes over no debt from its
-// peers: a bucket below zero is reported as empty, and the new process begins with a part of the burst and is not paced.
+// peers: a bucket below zero is reported as empty, and the new process begins with part of the burst and is not paced.
 // So it admits what the others are paying back, and each herd of new processes does so once more. On the bench 1,356
 // requests ran in 5 s, 1,333 allowed, beginning 0.8 s after the first of four such kills.
 func TestKilledLimitersLeaveNoFreshQuota(t *testing.T) {
--- a/dataplane/limiter/limiter.go
+++ b/dataplane/limiter/limiter.go
@@ -9,6 +9,8 @@
 package limiter
 
 import (
+	"maps"
+
 	"example.org/elmspan/api"
 	"example.org/elmspan/dataplane/balance"
 	"example.org/elmspan/dataplane/gossip"
@@ -39,6 +41,8 @@
 	Seed        uint64
 	// The operator's retry budget over all limiters; 0: none is set.
 	RetryRatio, RetrySlack float64
+	// The window in which the operator's rule counts a tenant's requests, in seconds; 0: 5 s.
+	QuotaWindowS float64
 	// The machine's link in bytes a second, where downloads can fill it; 0: they can't.
 	LinkBytesPerSecond float64
 	GossipBudget       gossip.Budget
@@ -53,19 +57,23 @@
 	gossip      *gossip.Disseminator
 	retryBudget map[string]float64 // retries that may be made, by service
 	peers       map[uint64]bool
+	started     map[uint64]uint64 // the incarnation of each peer that messages came from
 	downloads   downloadScheduler
 }
 
 // New returns a limiter that starts now.
 func New(now float64, cfg Config) *Limiter {
 	self := quota.Member{ID: cfg.Self, Zone: cfg.Zone}
+	enforcer := quota.New(now, self)
+	enforcer.SetWindow(cfg.QuotaWindowS)
 	return &Limiter{
 		cfg:         cfg,
-		quota:       quota.New(now, self),
+		quota:       enforcer,
 		balance:     balance.New(cfg.Zone, cfg.Self, cfg.Seed),
 		gossip:      gossip.NewDisseminator(now, self, cfg.Incarnation, cfg.GossipBudget),
 		retryBudget: map[string]float64{},
 		peers:       map[uint64]bool{},
+		started:     map[uint64]uint64{},
 		downloads:   newDownloadScheduler(cfg.LinkBytesPerSecond / 1000),
 	}
 }
@@ -98,6 +106,7 @@
 			zone = append(zone, p.ID)
 		}
 	}
+	maps.DeleteFunc(l.started, func(id, _ uint64) bool { return !l.peers[id] })
 	l.quota.SetMembers(now, peers)
 	l.balance.SetPeers(zone, len(peers) >= gossip.LargeFleetPeers)
 	l.gossip.SetPeers(peers, l.quota.Level())
@@ -176,6 +185,11 @@
 	if !l.peers[m.From] {
 		return false
 	}
+	if l.started[m.From] != m.Incarnation {
+		l.started[m.From] = m.Incarnation
+		l.gossip.NoteAge(now, m.AgeMs)
+		l.gossip.Introduce(m.From)
+	}
 	if m.GroupDigest.Level > 0 {
 		l.quota.ReceiveDigest(now, m.From, m.Incarnation, m.AgeMs, m.GroupDigest)
 	} else {
--- a/dataplane/quota/digest.go
+++ b/dataplane/quota/digest.go
@@ -20,7 +20,7 @@
 	s := &e.sharing
 	d := Digest{Level: e.level, LiveCount: s.liveCount, LiveSet: s.groupLiveSet, Classes: s.classes, Consumed: out}
 	for id, t := range e.groupUnreported {
-		if !t.group.due() {
+		if !t.group.due() && !e.repeatsLow(now, t, &t.group) {
 			delete(e.groupUnreported, id)
 			continue
 		}
@@ -37,7 +37,7 @@
 	if g == nil {
 		return
 	}
-	r := g.reporterFor(now, from, incarnation)
+	r := g.reporterFor(now, from, incarnation, ageMs)
 	if now-r.lastReceived > e.livenessTimeout() {
 		// What a reporter sent to others while it didn't report here was paid for by the other
 		// reporter's digests, or came out of its group's own shares.
@@ -65,13 +65,19 @@
 }
 
 // reporterFor returns the state of a reporter, new for a new incarnation.
-func (g *group) reporterFor(now float64, from, incarnation uint64) *reporter {
+func (g *group) reporterFor(now float64, from, incarnation uint64, ageMs float64) *reporter {
 	r := g.reporters[from]
-	if r == nil || r.incarnation != incarnation {
-		r = &reporter{incarnation: incarnation, firstReceived: now, lastReceived: now, undrawn: map[uint64]uint64{}}
-		g.reporters[from] = r
+	if r != nil && r.incarnation == incarnation {
+		return r
 	}
-	return r
+	g.reporters[from] = &reporter{
+		incarnation:  incarnation,
+		lastReceived: now,
+		undrawn:      map[uint64]uint64{},
+		// Of one that this limiter went by and that has started again, all units are new.
+		countsFromStart: r != nil && g.reporter == from && ageMs <= newPeerMs,
+	}
+	return g.reporters[from]
 }
 
 // recordDigest adds a digest's new units to the undrawn ones of its reporter. Sums count
@@ -82,12 +88,9 @@
 		if t == nil {
 			continue
 		}
-		units, known := r.usage.update(t.row, u.Units)
-		switch {
-		case known && units > 0:
+		e.inherit(now, t, ageMs, u.FillLevel)
+		if units, known := r.usage.update(t.row, u.Units); (known || r.countsFromStart) && units > 0 {
 			r.undrawn[u.Tenant] += units
-		case !known && ranBefore(now, ageMs, r.firstReceived):
-			e.inherit(now, t, u.FillLevel)
 		}
 	}
 }
--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -63,10 +63,11 @@
 
 // reporter is a limiter that sends digests of its group.
 type reporter struct {
-	incarnation   uint64
-	firstReceived float64 // time of the first digest of this incarnation
-	lastReceived  float64
-	usage         usageTable // the group's sums since the reporter's start
+	incarnation  uint64
+	lastReceived float64
+	usage        usageTable // the group's sums since the reporter's start
+	// countsFromStart: a tenant's first sum is all new. Else it is where the sums begin: others reported it.
+	countsFromStart bool
 	// undrawn has the units, by tenant, that this one has reported since the last digest of
 	// the reporter that this limiter goes by. They are drawn if it goes by this one instead.
 	undrawn map[uint64]uint64
--- a/dataplane/quota/pacing.go
+++ b/dataplane/quota/pacing.go
@@ -1,7 +1,9 @@
 package quota
 
 import (
-	"math"
+	"encoding/binary"
+
+	"github.com/cespare/xxhash/v2"
 
 	"example.org/elmspan/bucket"
 )
@@ -16,10 +18,15 @@
 // exhausted admits no more than its part of the refill, by the usage that it knows of: the parts of
 // all limiters sum up to one. The more the bucket holds, the more a limiter may admit, and once the bucket
 // is well filled pacing ends: usage may move to other limiters, and a tenant that asks for less than
-// its quota must not be held back (docs/incidents/0019).
+// its quota must not be held back (docs/incidents/0019). Each end lets all limiters admit what they are asked
+// for until they hear of each other. Where that has come to much, as gossip is late, two such moments in one
+// window of the rule exceed the quota: pacing ends a window later then (docs/incidents/0025).
 const (
 	// pacingEndLevel is the part of the burst from which on a bucket counts as filled again.
 	pacingEndLevel = 0.25
+	// pacingDebt is the part of the burst below zero from which on pacing lasts for a window of the rule. Larger: a
+	// tenant's usage moves sooner. Smaller: the quota holds with gossip that is later.
+	pacingDebt = 0.25
 	// pacingGain is how much faster than its part of the refill a limiter may admit with a full
 	// bucket. Larger: usage moves to other limiters sooner. Smaller: less is admitted before others
 	// are heard of. Its product with rate/burst and the age of usage reports in seconds must stay
@@ -32,44 +39,54 @@
 	usageDecayMs = 2000.0
 )
 
-// pacing is the state of one tenant at this limiter. The zero value admits everything.
+// pacing is the state of one tenant at this limiter. One that is not active admits everything.
 type pacing struct {
-	active    bool
-	tokens    float64 // units that may be admitted now; updated at updatedAt
-	updatedAt float64
-	own       float64 // units admitted here of late, decaying, as of decayedAt
-	others    float64 // units drawn for others of late, likewise
-	decayedAt float64
-}
-
-// decay brings the usage counts up to date.
-func (p *pacing) decay(now float64) {
-	factor := math.Exp((p.decayedAt - now) / usageDecayMs)
-	p.own, p.others, p.decayedAt = p.own*factor, p.others*factor, now
+	active      bool
+	phase       float64 // of a token, from 0 to 1, that pacing begins with
+	tokens      float64 // units that may be admitted now; updated at updatedAt
+	updatedAt   float64
+	exhaustedAt float64   // the last time when the bucket was found to be exhausted
+	inDebt      bool      // pacingDebt was reached since pacing began
+	own         usageMean // units admitted here of late
+	others      usageMean // units drawn for others of late
 }
 
 // noteAdmitted counts a unit that this limiter admitted.
-func (p *pacing) noteAdmitted(now float64) {
-	p.decay(now)
-	p.own++
-}
+func (p *pacing) noteAdmitted(now float64) { p.own.add(now, 1, usageDecayMs) }
 
 // noteDrawn counts units that others admitted.
 func (p *pacing) noteDrawn(now float64, units uint64) {
-	p.decay(now)
-	p.others += float64(units)
+	p.others.add(now, float64(units), usageDecayMs)
+}
+
+// pacingPhase is the phase of a token with which pacing begins, another one at each limiter: with the same one, the
+// limiters of a large fleet would have their next whole token at the same time.
+func (e *Enforcer) pacingPhase(row int32) float64 {
+	var b [12]byte
+	binary.BigEndian.PutUint64(b[:], e.self.ID)
+	binary.BigEndian.PutUint32(b[8:], uint32(row))
+	return float64(xxhash.Sum64(b[:])>>32) / (1 << 32)
+}
+
+// exhausted starts pacing, or goes on with it. While the bucket is exhausted nothing is saved up: else all limiters
+// would have a token when it is positive again, and spend them within the time that gossip takes.
+func (p *pacing) exhausted(now float64) {
+	p.start(now)
+	p.updatedAt, p.exhaustedAt = now, now
 }
 
-// begin starts pacing, as the bucket is exhausted.
-func (p *pacing) begin(now float64) {
+// start starts pacing, unless it is active.
+func (p *pacing) start(now float64) {
 	if !p.active {
-		p.active, p.tokens, p.updatedAt = true, 0, now
+		p.active, p.tokens, p.updatedAt = true, p.phase, now
 	}
 }
 
-// part is this limiter's part of the usage, from 0 to 1. With little usage it tends to an equal part.
-func (p *pacing) part(limiters float64) float64 {
-	return (p.own + 1/limiters) / (p.own + p.others + 1)
+// part is this limiter's part, from 0 to 1, of the usage of those that share the quota with it. With little usage it
+// tends to an equal part.
+func (p *pacing) part(now, sharers float64) float64 {
+	own, others := p.own.value(now, usageDecayMs), p.others.value(now, usageDecayMs)
+	return (own + 1/sharers) / (own + others + 1)
 }
 
 // paced takes a pacing token, where pacing is active. Where there is none it returns false and the
@@ -79,12 +96,14 @@
 	if !p.active {
 		return 0, true
 	}
-	if t.balance >= pacingEndLevel*t.plan.Burst {
-		p.active = false
+	known := t.balance - t.surge.unheard(now, e.gossipMs())
+	if known >= pacingEndLevel*t.plan.Burst && (!p.inDebt || now-p.exhaustedAt > e.windowMs) {
+		p.active, p.inDebt = false, false
 		return 0, true
 	}
-	part := p.part(float64(len(e.peers) + 1))
-	rate := t.plan.Rate * e.currentShare(now) * part * (1 + pacingGain*t.balance/t.plan.Burst)
+	share := e.currentShare(now)
+	part := p.part(now, max(1, share*float64(len(e.peers)+1)))
+	rate := t.plan.Rate * share * part * (1 + pacingGain*t.balance/t.plan.Burst)
 	limit := max(1, pacingBurst*t.plan.Burst*part)
 	p.tokens = bucket.Refill(p.tokens, (now-p.updatedAt)/millisPerSecond, rate, limit)
 	p.updatedAt = now
--- a/dataplane/quota/peers.go
+++ b/dataplane/quota/peers.go
@@ -81,6 +81,15 @@
 	return LivenessTimeoutMs
 }
 
+// sentAt is the time from which a message that is received now shows that its sender is live. A process that stood
+// still finds messages in its socket that are older than the time-out: those say nothing of the present.
+func (e *Enforcer) sentAt(now, latenessMs float64) float64 {
+	if latenessMs <= e.livenessTimeout() {
+		return now
+	}
+	return now - latenessMs
+}
+
 // ReceiveUsage takes in a message from a peer of this limiter's group: the sender's
 // incarnation and its age, its live set, and its usage. Units of a sender with another live
 // set are not drawn: it spends shares of its own. A message of an unknown sender, or of
@@ -97,11 +106,11 @@
 		p.usage.clear()
 		p.lateness = lateness{}
 	}
-	p.lateness.observe(now, ageMs)
+	sentAt := e.sentAt(now, p.lateness.observe(now, ageMs))
 	if now-p.lastReceived > e.livenessTimeout() || p.liveSet != liveSet {
 		e.sharing.invalidate()
 	}
-	p.lastReceived, p.liveSet = now, liveSet
+	p.lastReceived, p.liveSet = max(p.lastReceived, sentAt), liveSet
 	e.currentShare(now) // decides who shares before any unit is drawn
 	for _, u := range reported {
 		if t := e.tenants[u.Tenant]; t != nil {
@@ -111,10 +120,10 @@
 }
 
 func (e *Enforcer) receiveTenantUsage(now float64, p *peer, ageMs float64, t *tenant, u Usage) {
+	e.inherit(now, t, ageMs, u.FillLevel)
 	units, known := p.usage.update(t.row, u.Units)
 	if !known && ranBefore(now, ageMs, p.firstReceived) {
 		units = 0
-		e.inherit(now, t, u.FillLevel)
 	}
 	if units == 0 {
 		return
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -22,7 +22,11 @@
 	"example.org/elmspan/bucket"
 )
 
-const millisPerSecond = 1000
+const (
+	millisPerSecond = 1000
+	// defaultWindowS is the window of the operator's rule, in seconds, where none is set.
+	defaultWindowS = 5.0
+)
 
 // TenantID is the name of a tenant in gossip messages: 40 bits of its name's hash.
 func TenantID(name string) uint64 { return xxhash.Sum64String(name) >> 24 }
@@ -38,6 +42,7 @@
 type Enforcer struct {
 	self      Member
 	startedAt float64
+	windowMs  float64            // of the operator's rule on quotas
 	tenants   map[uint64]*tenant // by TenantID
 	rows      rowAllocator       // of the tenants in all usage tables
 	// Tenants that may have units to report, by this limiter and by its group. A look for
@@ -62,6 +67,7 @@
 	admitted  usageCounter // units admitted by this limiter, reported to its group
 	inherited inheritance
 	pacing    pacing
+	surge     surge
 	group     usageCounter // units known to be admitted by this limiter's group, reported to other groups
 }
 
@@ -70,6 +76,7 @@
 	return &Enforcer{
 		self:            self,
 		startedAt:       now,
+		windowMs:        defaultWindowS * millisPerSecond,
 		tenants:         map[uint64]*tenant{},
 		unreported:      map[uint64]*tenant{},
 		groupUnreported: map[uint64]*tenant{},
@@ -78,6 +85,19 @@
 	}
 }
 
+// SetWindow sets the window of the operator's rule: in each span of so many seconds a tenant may have its rate for that
+// time and its burst. 0 or less: it stays at 5 s.
+func (e *Enforcer) SetWindow(seconds float64) {
+	if seconds > 0 {
+		e.windowMs = seconds * millisPerSecond
+	}
+}
+
+// floor is the balance below which nothing is drawn from a bucket. It bounds for how long a wrong report can keep a
+// tenant out. What peers admitted is paid back as far as the window of the rule reaches: units that were forgiven
+// sooner would be admitted once more within it.
+func (e *Enforcer) floor(p Plan) float64 { return -p.Burst - p.Rate*e.windowMs/millisPerSecond }
+
 // SetPlans replaces the plans of all tenants, by [TenantID].
 func (e *Enforcer) SetPlans(now float64, plans map[uint64]Plan) {
 	var removed []uint64
@@ -119,12 +139,19 @@
 // the plan has refilled since this limiter's start.
 func (e *Enforcer) newTenant(now float64, plan Plan) *tenant {
 	limiters := float64(len(e.peers) + 1)
-	return &tenant{
+	row, started := e.rows.allocate(), now-e.startedAt
+	t := &tenant{
 		plan:      plan,
-		row:       e.rows.allocate(),
-		balance:   min(plan.Burst, plan.Burst/limiters+plan.Rate*(now-e.startedAt)/millisPerSecond),
+		row:       row,
+		pacing:    pacing{phase: e.pacingPhase(row)},
+		inherited: inheritance{awaited: started <= inheritWindowMs},
+		balance:   min(plan.Burst, plan.Burst/limiters+plan.Rate*started/millisPerSecond),
 		updatedAt: now,
 	}
+	if t.inherited.awaited { // the bucket may be exhausted: many that start together would each spend what is left
+		t.pacing.start(now)
+	}
+	return t
 }
 
 // Admit takes one unit for a request. If the bucket is short of it, Admit returns false and
@@ -135,11 +162,14 @@
 		return 0, true
 	}
 	e.refill(now, t)
-	if t.balance < 1 {
+	if t.balance < 1 || t.inherited.heldEmpty(now) {
 		e.counters.RejectedEmpty++
-		t.pacing.begin(now)
+		t.pacing.exhausted(now)
 		return millisPerSecond * bucket.Wait(t.balance, 1, t.plan.Rate*e.currentShare(now)), false
 	}
+	if t.balance-t.surge.unheard(now, e.gossipMs()) < 1 {
+		t.pacing.start(now)
+	}
 	if waitMs, ok := e.paced(now, t); !ok {
 		e.counters.RejectedPaced++
 		return waitMs, false
@@ -147,6 +177,7 @@
 	t.balance--
 	e.counters.Admitted++
 	t.pacing.noteAdmitted(now)
+	t.surge.noteAdmitted(now, e.gossipMs())
 	t.admitted.total++
 	t.group.total++
 	e.unreported[id], e.groupUnreported[id] = t, t
@@ -164,11 +195,13 @@
 func (e *Enforcer) draw(now float64, t *tenant, units uint64) {
 	e.refill(now, t)
 	before := t.balance
-	t.balance = bucket.Draw(t.balance, float64(units), -t.plan.Burst-t.plan.Rate)
+	t.balance = bucket.Draw(t.balance, float64(units), e.floor(t.plan))
 	e.counters.Drawn += before - t.balance
 	e.counters.Forgiven += float64(units) - (before - t.balance)
 	t.inherited.noteDrawn(units)
 	t.pacing.noteDrawn(now, units)
+	t.surge.noteDrawn(now, float64(units))
+	t.pacing.inDebt = t.pacing.inDebt || t.balance < -pacingDebt*t.plan.Burst-slackUnits/2
 }
 
 // Balance returns the balance of a tenant's bucket, for status reports. It is 0 for an
--- a/dataplane/quota/report.go
+++ b/dataplane/quota/report.go
@@ -5,11 +5,13 @@
 // How often usage is reported. A tenant whose bucket is low, or that has admitted much
 // since its last report, is urgent.
 const (
-	lowBalance     = 0.5   // of the burst: a bucket below it is urgent
-	urgentUnits    = 0.05  // of the burst: a tenant with more unreported units is urgent
-	urgentMs       = 60.0  // between reports of an urgent tenant
-	relaxedMs      = 250.0 // between a limiter's reports of another tenant
-	groupRelaxedMs = 700.0 // between a group's reports of another tenant
+	lowBalance  = 0.5  // of the burst: a bucket below it is urgent
+	urgentUnits = 0.05 // of the burst: a tenant with more unreported units is urgent
+	// urgentFleetUnits is the same for all limiters together, if each has as many unreported units as this one.
+	urgentFleetUnits = 0.5
+	urgentMs         = 60.0  // between reports of an urgent tenant
+	relaxedMs        = 250.0 // between a limiter's reports of another tenant
+	groupRelaxedMs   = 700.0 // between a group's reports of another tenant
 )
 
 // In a very large fleet, nearly every unit of a small tenant is the only one that a limiter
@@ -28,6 +30,12 @@
 	extraWaitStepMs     = 20.0  // ... in ticks of a large fleet: half a tick more would be half a tick late
 )
 
+// What a limiter that has just started is told of usage.
+const (
+	maxIntroduced   = 96       // tenants, two messages
+	introducedAgeMs = 10_000.0 // since the last report: what a quota's window can reach, and a time to spare
+)
+
 // Usage is the report of one tenant's usage. Units are cumulative: the next report makes up
 // for a lost one.
 type Usage struct {
@@ -63,7 +71,7 @@
 // twice, against loss.
 func (e *Enforcer) ReportUsage(now float64, out []Usage) []Usage {
 	for id, t := range e.unreported {
-		if !t.admitted.due() {
+		if !t.admitted.due() && !e.repeatsLow(now, t, &t.admitted) {
 			delete(e.unreported, id)
 			continue
 		}
@@ -72,6 +80,38 @@
 	return out
 }
 
+// Introduction is the usage to tell a limiter that has just started, appended to out: this limiter's totals, or its
+// group's, of the tenants that are in use, maxIntroduced at most. Sums that it receives for the first time are where it
+// begins to count: it would leave out the units that come with the first sum.
+func (e *Enforcer) Introduction(now float64, ofGroup bool, out []Usage) []Usage {
+	for id, t := range e.tenants {
+		c := &t.admitted
+		if ofGroup {
+			c = &t.group
+		}
+		if len(out) >= maxIntroduced {
+			break
+		}
+		if t.plan.Rate <= 0 || c.total == 0 || now-c.reportedAt > introducedAgeMs {
+			continue
+		}
+		e.refill(now, t)
+		out = append(out, Usage{Tenant: id, Units: c.total, FillLevel: t.fillLevel(), DueWithinMs: urgentMs})
+	}
+	return out
+}
+
+// repeatsLow tells whether the report of a tenant is repeated although there are no new units, and marks it as due: as
+// long as the bucket is low, a limiter that has just started must hear of it (inherit.go).
+func (e *Enforcer) repeatsLow(now float64, t *tenant, c *usageCounter) bool {
+	e.refill(now, t)
+	if t.plan.Rate <= 0 || t.balance >= lowBalance*t.plan.Burst {
+		return false
+	}
+	c.repeat = c.repeat || now-c.reportedAt >= relaxedMs
+	return true
+}
+
 // appendDue appends the report of a tenant's counter if its interval has passed. A tenant
 // without a limit is not reported until it has one.
 func (e *Enforcer) appendDue(
@@ -81,7 +121,7 @@
 		return out
 	}
 	interval, urgent := e.reportInterval(now, t, c.unreported(), relaxedMs)
-	if now-c.reportedAt < interval {
+	if !c.due() || now-c.reportedAt < interval {
 		return out
 	}
 	u := Usage{Tenant: id, Units: c.report(now), FillLevel: t.fillLevel()}
@@ -100,6 +140,8 @@
 	urgentFrom := urgentUnits * t.plan.Burst
 	if e.veryLargeFleet() {
 		urgentFrom = max(1, urgentFrom) // a single unit is never urgent
+	} else {
+		urgentFrom = min(urgentFrom, max(1, urgentFleetUnits*t.plan.Burst/float64(len(e.peers)+1)))
 	}
 	if t.balance >= lowBalance*t.plan.Burst && float64(units) <= urgentFrom {
 		return relaxedMs, false
--- a/dataplane/quota/share.go
+++ b/dataplane/quota/share.go
@@ -55,6 +55,7 @@
 	liveSet      uint32         // of this limiter
 	groupLiveSet uint32         // the part of it that is in this limiter's group
 	liveCount    int            // limiters in groupLiveSet
+	meanLateness float64        // of the last messages of the live ones, in milliseconds
 	classes      []SharingClass // of this limiter's group, the largest first
 	share        float64        // of each quota, 0 to 1
 	validUntil   float64        // all of the above but groupPeers are computed again after it
@@ -104,13 +105,15 @@
 // updateLiveSet sums up whom this limiter receives from, itself or by digests.
 func (e *Enforcer) updateLiveSet(now float64) {
 	s := &e.sharing
-	s.groupLiveSet, s.liveCount = fingerprint(e.self.ID), 1
+	s.groupLiveSet, s.liveCount, s.meanLateness = fingerprint(e.self.ID), 1, 0
 	for _, p := range s.groupPeers {
 		if e.live(now, p) {
 			s.groupLiveSet ^= fingerprint(p.ID)
 			s.liveCount++
+			s.meanLateness += p.lateness.ms
 		}
 	}
+	s.meanLateness /= float64(s.liveCount)
 	s.liveSet = s.groupLiveSet
 	for _, g := range e.groups {
 		if e.groupLive(now, g) {
--- a/lab/checker/quota.go
+++ b/lab/checker/quota.go
@@ -134,6 +134,7 @@
 	EndS    float64 // of the window, since the start of traffic
 	Ran     int
 	Allowed float64
+	Detail  string // who admitted the requests of the window, and when
 }
 
 // Share is what has run, as a share of what is allowed.
@@ -169,7 +170,8 @@
 		for end-runs[oldest].at > window {
 			oldest++
 		}
-		use := QuotaUse{tenant, end.Seconds(), newest - oldest + 1, l.mostAllowed(tenant, span{end - window, end})}
+		allowed := l.mostAllowed(tenant, span{end - window, end})
+		use := QuotaUse{Tenant: tenant, EndS: end.Seconds(), Ran: newest - oldest + 1, Allowed: allowed}
 		if use.Share() > nearest.Share() {
 			nearest, nearestOldest = use, oldest
 		}
@@ -177,11 +179,11 @@
 	if math.IsInf(nearest.Allowed, 1) {
 		return
 	}
+	nearest.Detail = l.describeWindow(runs[nearestOldest : nearestOldest+nearest.Ran])
 	l.quotaUse = append(l.quotaUse, nearest)
 	if nearest.Share() > 1 {
 		l.violation(ruleQuota, "%s ran %d requests in %v s up to %.1f s, %.0f are the most; %s",
-			tenant, nearest.Ran, QuotaWindowS, nearest.EndS, nearest.Allowed,
-			l.describeWindow(runs[nearestOldest:nearestOldest+nearest.Ran]))
+			tenant, nearest.Ran, QuotaWindowS, nearest.EndS, nearest.Allowed, nearest.Detail)
 	}
 }
 
@@ -190,7 +192,9 @@
 func (l *Log) describeWindow(runs []tenantRun) string {
 	machines, young := map[string]bool{}, map[string]bool{}
 	byYoung, sentBefore := 0, 0
+	var bySecond [int(QuotaWindowS) + 1]int
 	for _, r := range runs {
+		bySecond[int((r.at-runs[0].at).Seconds())]++
 		machines[r.machine] = true
 		if r.sent < runs[0].at {
 			sentBefore++
@@ -201,7 +205,8 @@
 		}
 	}
 	return fmt.Sprintf("%d limiters admitted them, %d of these had started less than %v before and admitted %d; "+
-		"%d were sent before the window", len(machines), len(young), youngProcess, byYoung, sentBefore)
+		"%d were sent before the window; by second %v",
+		len(machines), len(young), youngProcess, byYoung, sentBefore, bySecond)
 }
 
 // processAge is how long a machine's process had run at a time. Called under the mutex.
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -218,8 +218,8 @@
 		"%d connections cut, %d lost; %d denied\n",
 		e.Left, e.Continued, e.LongRuns, e.ArrivedLate, e.Aborted, e.Lost, e.Denied)
 	if u, limited := r.NearestQuota(); limited {
-		fmt.Fprintf(&b, "nearest to its quota: %s, %d of %.0f in %v s up to %.1f s\n",
-			u.Tenant, u.Ran, u.Allowed, QuotaWindowS, u.EndS)
+		fmt.Fprintf(&b, "nearest to its quota: %s, %d of %.0f in %v s up to %.1f s; %s\n",
+			u.Tenant, u.Ran, u.Allowed, QuotaWindowS, u.EndS, u.Detail)
 	}
 	for _, n := range r.Notes {
 		fmt.Fprintln(&b, n)
--- a/settings/node.go
+++ b/settings/node.go
@@ -118,9 +118,11 @@
 	StrictRevocation bool `toml:"strict_revocation"`
 	// RevokeMs, in milliseconds, is needed with StrictRevocation. Default: 0.
 	RevokeMs float64 `toml:"revoke_ms"`
-	// QuotaWindowS (seconds), QuotaOvershoot (a part of the rate) and QuotaSlack (requests) are
-	// how quotas are checked. For tools. Default: 0.
-	QuotaWindowS   float64 `toml:"quota_window_s"`
+	// QuotaWindowS, in seconds, is the window in which a tenant's requests are counted against its
+	// quota: what other gateways admitted is paid back as far as that. Default: 0, which is 5.
+	QuotaWindowS float64 `toml:"quota_window_s"`
+	// QuotaOvershoot (a part of the rate) and QuotaSlack (requests) are how quotas are checked. For
+	// tools. Default: 0.
 	QuotaOvershoot float64 `toml:"quota_overshoot"`
 	QuotaSlack     float64 `toml:"quota_slack"`
 	// RetryRatio is how many retries there may be for each request, over all limiters.
