--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -10,6 +10,7 @@
 	"strings"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -324,6 +325,48 @@
 	}
 }
 
+// A request takes in what peers have sent before it is charged to a quota, where the gossip loop is late, as in a process
+// that stood still. As long as the loop is on time it does not.
+func TestLateGossipIsTakenInBeforeARequestIsAdmitted(t *testing.T) {
+	node := nodeOf("a")
+	node.InternalPorts, node.Limits.MaxFDs = []int{0, 0}, 1000
+	received := 0
+	g, err := New(node, Options{
+		Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: settings.DefaultTuning().Upstream,
+		UnknownPeer: func(string) { received++ },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		err := errors.Join(g.listener.tcp.Close(), g.readiness.listener.Close(), g.gossip.socket.Close())
+		if err != nil {
+			t.Error(err)
+		}
+	})
+	const runFor = time.Hour
+	g.guarded.clock = clock{time.Now().Add(-runFor)}
+	g.gossip.receiver = newGossipReceiver(&g.gossip)
+	w := gossip.Message{From: 7, Incarnation: 1}
+	if err := g.gossip.socket.Send(w.Append(nil), g.gossip.socket.Addr()); err != nil {
+		t.Fatal(err)
+	}
+	for _, c := range []struct {
+		name       string
+		receivedAt time.Duration // when the loop took messages in; 0: it doesn't run
+		want       int
+	}{
+		{"the loop doesn't run", 0, 0},
+		{"on time", 2 * runFor, 0},
+		{"late", runFor / 2, 1},
+	} {
+		g.gossip.receivedAt.Store(int64(c.receivedAt))
+		if g.gossip.catchUp(); received != c.want {
+			t.Errorf("%s: %d messages taken in, want %d", c.name, received, c.want)
+		}
+	}
+}
+
 // Of 300 limiters one that starts again, at another address too, costs its own row: the
 // others are not looked at, and the limiter's groups stay. One that comes, goes or moves
 // to another zone has them formed anew.
