The judge holds seals of failures, servers for each request, and starved kinds of requests

New among the users' rules: a failure that bears a server's seal is what that server gave; a request runs on no more servers in one try than its route allows; no kind of request is served less than a quarter as often as all. Servers of the emulator seal failures too. Each check is seen to find a planted fault and to pass what is right.

--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -325,7 +325,7 @@
 	}
 }
 
-// A request takes in what peers have sent before it is charged to a quota, where the gossip loop is late, as in a process
+// A request takes in what peers have sent before it is charged to a quota, where the gossip loop is late, as in one
 // that stood still. As long as the loop is on time it does not.
 func TestLateGossipIsTakenInBeforeARequestIsAdmitted(t *testing.T) {
 	node := nodeOf("a")
--- a/dataplane/gossip/greeting_test.go
+++ b/dataplane/gossip/greeting_test.go
@@ -68,7 +68,7 @@
 	}
 }
 
-// A limiter whose peer has started again sends it, with the next message, the usage of all tenants that are in use, also
+// A limiter whose peer has started again sends it, with the next message, the usage of all tenants in use, also
 // what it had reported before.
 func TestStartedPeerIsToldAllUsage(t *testing.T) {
 	const tenant = 7
--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -13,6 +13,7 @@
 	"maps"
 	"net/http"
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -23,6 +24,7 @@
 const (
 	DrainMs        = 3000 // from the list's word of a draining server to the last request that it gets
 	ConfigApplyMs  = 3000 // from an acknowledgement to a configuration in force everywhere
+	RouteRetries   = 2    // retry_count of all routes: servers on which a request may run in one attempt
 	RevokeMs       = 5000 // from an acknowledgement to a revoked key that opens nothing
 	QuotaWindowS   = 5.0
 	QuotaOvershoot = 0.1  // share of a quota that may be exceeded
@@ -43,6 +45,7 @@
 	ruleRefused = "REFUSED" // what ran was answered as not executed
 	ruleQuota   = "QUOTA"   // a tenant ran more than its quota
 	ruleBudget  = "BUDGET"  // there were more retries than the budget
+	ruleStarved = "STARVED" // a kind of request was served far less often than all
 )
 
 // Log is what the parties saw. Times are since the start of traffic. Its methods may be
@@ -89,6 +92,7 @@
 	Service, Member, Tenant string
 	Body                    uint32        // checksum of what came
 	Work                    time.Duration // that the server has to do; 0: not told
+	status                  int           // that the server answered; 0: none yet
 	at                      time.Duration
 	ended                   time.Duration // 0: it has not, as far as is known
 }
@@ -210,6 +214,7 @@
 	defer l.mu.Unlock()
 	l.sent[id].status = status
 	if status/100 != 2 {
+		l.checkSealedFailure(id, status, seal)
 		return
 	}
 	if !slices.ContainsFunc(l.runs[id], func(r Run) bool { return seal == Seal(r.Member, id, body) }) {
@@ -229,12 +234,57 @@
 		}
 	}
 	l.checkQuotas()
+	l.checkServersPerRequest()
 	l.checkConnections()
 	for _, service := range slices.Sorted(maps.Keys(l.retries)) {
 		l.checkRetryBudget(service)
 	}
 }
 
+// Gave notes the status that a server answers a request that it runs.
+func (l *Log) Gave(id, member string, status int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for i := range l.runs[id] {
+		if run := &l.runs[id][i]; run.Member == member {
+			run.status = status
+		}
+	}
+}
+
+// checkSealedFailure checks that a failure which bears a server's seal is what that server gave. Called under the
+// mutex.
+func (l *Log) checkSealedFailure(id string, status int, seal string) {
+	if seal == "" {
+		return
+	}
+	member, _, _ := strings.Cut(seal, ".")
+	gave := func(r Run) bool { return r.Member == member && r.status == status }
+	if !slices.ContainsFunc(l.runs[id], gave) {
+		l.violation(ruleMixed, "%s got a %d with the seal of %s, which gave no such answer", id, status, member)
+	}
+}
+
+// checkServersPerRequest checks on how many servers requests ran in one attempt. Servers that broke off don't count.
+// Called under the mutex.
+func (l *Log) checkServersPerRequest() {
+	beyond := 0
+	for _, runs := range l.runs {
+		servers := map[string]bool{}
+		for _, run := range runs {
+			if run.ended > 0 {
+				servers[run.Member] = true
+			}
+		}
+		if len(servers) > RouteRetries {
+			beyond++
+		}
+	}
+	if beyond > fewRequests {
+		l.violation(ruleBudget, "%d requests ran on more than %d servers in one attempt", beyond, RouteRetries)
+	}
+}
+
 // saysNotExecuted reports whether a status promises that the request has not run.
 func saysNotExecuted(status int) bool {
 	switch status {
--- a/lab/checker/log_test.go
+++ b/lab/checker/log_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"testing"
 	"time"
 
@@ -59,16 +60,79 @@
 			}
 		},
 	} {
-		l := New(scenario.RetryBudget{Ratio: 0.1, Slack: 5, WindowS: 10}, func() time.Duration { return time.Minute })
-		l.Sent("a", &Attempt{Class: once, Tenant: "t", Key: "k"})
-		play(l)
-		l.Finish()
-		rule := want
-		if len(rule) > 7 {
-			rule = rule[:7]
+		requireBroken(t, want, play)
+	}
+}
+
+// requireBroken plays something and requires that it breaks the rule that a name begins with, and no other one.
+func requireBroken(t *testing.T, name string, play func(*Log)) {
+	t.Helper()
+	l := New(scenario.RetryBudget{Ratio: 0.1, Slack: 5, WindowS: 10}, func() time.Duration { return time.Minute })
+	l.Sent("a", &Attempt{Class: once, Tenant: "t", Key: "k"})
+	play(l)
+	l.Finish()
+	rule, _, _ := strings.Cut(name, " ")
+	if n := len(l.violationCounts); rule == "" && n > 0 || rule != "" && (n != 1 || l.violationCounts[rule] == 0) {
+		t.Errorf("%q: %v %v", name, l.violationCounts, l.violations)
+	}
+}
+
+// So it does for what a server's seal says, and for the servers that a request ran on.
+func TestLogFindsSealsAndServersThatAreTooMany(t *testing.T) {
+	good := Run{Service: "filing", Member: "m", Tenant: "t"}
+	for want, play := range map[string]func(*Log){
+		"MIXED failure": func(l *Log) {
+			l.Ran("a", good, false)
+			l.Gave("a", "m", 200)
+			l.Answered("a", 502, Seal("m", "a", nil), nil)
+		},
+		"BUDGET servers": func(l *Log) {
+			for i := range 4 {
+				id := fmt.Sprint("b", i)
+				l.Sent(id, &Attempt{Class: lookup, Tenant: "t"})
+				for _, member := range []string{"m", "n", "o"} {
+					l.Ran(id, Run{Service: "search", Tenant: "t", Member: member}, false)
+					l.RunEnded(id, member)
+				}
+			}
+		},
+	} {
+		requireBroken(t, want, play)
+	}
+}
+
+// A failure that a server gave and sealed is no broken rule, nor are two servers for a request.
+func TestSealedFailureOfTheServerIsItsOwn(t *testing.T) {
+	l := New(scenario.RetryBudget{}, func() time.Duration { return time.Minute })
+	l.Sent("a", &Attempt{Class: lookup, Tenant: "t"})
+	for _, member := range []string{"m", "n"} {
+		l.Ran("a", Run{Service: "search", Tenant: "t", Member: member}, false)
+		l.Gave("a", member, 500)
+		l.RunEnded("a", member)
+	}
+	l.Answered("a", 500, Seal("n", "a", nil), nil)
+	l.Finish()
+	if len(l.violations) > 0 {
+		t.Error(l.violations)
+	}
+}
+
+// A kind of request that is served less than a quarter as often as all is starved.
+func TestStarvedKindIsFound(t *testing.T) {
+	for servedFilings, broken := range map[int]bool{30: true, 60: false} {
+		l := New(scenario.RetryBudget{}, func() time.Duration { return time.Minute })
+		c := NewCounter(&scenario.Day{LengthS: 1, Classes: []scenario.Class{*lookup, *once}})
+		for i := range 1000 {
+			c.Add(lookup, 0, 200, 1, time.Millisecond)
+			status := 503
+			if i < servedFilings*3 {
+				status = 200
+			}
+			c.Add(once, 0, status, 1, time.Millisecond)
 		}
-		if n := len(l.violationCounts); rule == "" && n > 0 || rule != "" && (n != 1 || l.violationCounts[rule] == 0) {
-			t.Errorf("%q: %v %v", want, l.violationCounts, l.violations)
+		report := c.Report(l)
+		if got := report.ViolationCounts[ruleStarved] > 0; got != broken {
+			t.Errorf("%d filings of 1000 served: broken %v: %v", servedFilings*3, got, report.Violations)
 		}
 	}
 }
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -109,11 +109,34 @@
 	}
 }
 
+// starvedShare is the least part of the share that is served of all requests at which each kind must be served.
+const starvedShare = 0.25
+
+// checkStarved checks that no kind of request is served far less often than all.
+func (t *Counter) checkStarved(l *Log) {
+	served, within := 0, 0
+	for _, s := range t.stats {
+		served, within = served+s.InTarget+s.Late, within+s.Requests-s.OverQuota
+	}
+	if within == 0 {
+		return
+	}
+	all := float64(served) / float64(within)
+	for _, name := range t.classes {
+		s := t.stats[name]
+		n := s.Requests - s.OverQuota
+		if own := float64(s.InTarget + s.Late); n > 0 && own < starvedShare*all*float64(n) {
+			l.Violation(ruleStarved, "%s: %.0f of %d served, of all %.2f", name, own, n, all)
+		}
+	}
+}
+
 // Report closes a day: nothing is counted any more.
 func (t *Counter) Report(l *Log) *Report {
 	l.Finish()
 	t.mu.Lock()
 	defer t.mu.Unlock()
+	t.checkStarved(l)
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return &Report{
--- a/lab/emulator/answer.go
+++ b/lab/emulator/answer.go
@@ -190,7 +190,9 @@
 	}
 	switch {
 	case x.mode == scenario.GreyErrors:
-		return s.write(x.conn, "HTTP/1.1 500 x\r\nAttempt-Id: %s\r\nContent-Length: 0\r\n\r\n", x.id)
+		s.log.Gave(x.id, s.id, http.StatusInternalServerError)
+		return s.write(x.conn, "HTTP/1.1 500 x\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\nContent-Length: 0\r\n\r\n",
+			x.id, checker.Seal(s.id, x.id, nil))
 	case x.mode == scenario.GreyReset:
 		reset(x.conn)
 		return false
@@ -216,6 +218,7 @@
 	head := fmt.Sprintf("HTTP/1.1 200 OK\r\nAttempt-Id: %s\r\nServer-Seal: %s\r\n"+
 		"Keep-Alive: timeout=%d\r\n%sContent-Length: %d\r\n\r\n",
 		x.id, checker.Seal(s.id, x.id, body), int(serverIdleTimeout.Seconds()), closes, len(body))
+	s.log.Gave(x.id, s.id, http.StatusOK)
 	answer := append([]byte(head), body...)
 	out := answer
 	if p.repeats && !p.repeatsLater { // in one piece with the next answer, or while the connection rests
--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -102,7 +102,7 @@
 			TimeoutMs: k.DeadlineMs * o.timeout,
 			TargetMs:  k.TargetMs,
 			Upstream:  k.Service,
-			Retries:   2,
+			Retries:   checker.RouteRetries,
 		})
 	}
 	for _, t := range day.Tenants {
