--- a/dataplane/gossip/greeting.go
+++ b/dataplane/gossip/greeting.go
@@ -3,13 +3,13 @@
 import "example.org/elmspan/dataplane/quota"
 
 // A limiter that has just started is reported to by limiters of other groups that it sends nothing itself. They learn
-// of its start by a greeting, and tell it where their sums begin: without that it would take the first sum that it
+// of its start by a greeting, and report where their sums begin: without that it would take the first sum that it
 // receives for the beginning, and leave out the units that came with it.
 const (
 	// greetingMs is how long after its start a limiter greets those that report to it, as it learns of them.
 	greetingMs = 1500.0
 	// seniorityMs is by how much longer others have run where a fleet ran before: one that starts as a whole has no
-	// sums to tell.
+	// sums to report.
 	seniorityMs = 500.0
 	// greetingPauseMs is the time between the first greeting and the second one, against loss.
 	greetingPauseMs = 100.0
@@ -61,7 +61,7 @@
 	return reporters
 }
 
-// ranksBefore tells whether one limiter reports to a recipient rather than another one.
+// ranksBefore reports whether one limiter reports to a recipient rather than another one.
 func ranksBefore(one, other, recipient uint64) bool {
 	a, b := reporterRank(one, recipient), reporterRank(other, recipient)
 	return a > b || a == b && one < other
--- a/dataplane/gossip/greeting_test.go
+++ b/dataplane/gossip/greeting_test.go
@@ -8,7 +8,7 @@
 )
 
 // greeted returns how often each limiter was sent a message without a digest in the first second, by one of 90 that
-// starts at a time and hears at once of a peer of an age.
+// starts at a time and receives at once a message of a peer of an age.
 func greeted(start, peerAgeMs float64) (d *Disseminator, count map[uint64]int) {
 	peers := peersInZones(89)
 	self := quota.Member{ID: 1 << 40, Zone: "a"}
@@ -61,7 +61,7 @@
 	}
 }
 
-// A fleet that starts as a whole has nothing to tell: nobody is greeted.
+// A fleet that starts as a whole has nothing to report: nobody is greeted.
 func TestFleetThatStartsTogetherGreetsNobody(t *testing.T) {
 	if _, count := greeted(0, 300); len(count) != 0 {
 		t.Errorf("%d were greeted", len(count))
@@ -70,7 +70,7 @@
 
 // A limiter whose peer has started again sends it, with the next message, the usage of all tenants in use, also
 // what it had reported before.
-func TestStartedPeerIsToldAllUsage(t *testing.T) {
+func TestStartedPeerReceivesAllUsage(t *testing.T) {
 	const tenant = 7
 	l := newTestLimiter(1<<40, peersInZones(89), Budget{})
 	l.quotas.SetPlans(0, map[uint64]quota.Plan{tenant: {Rate: 1000, Burst: 1000}})
@@ -87,18 +87,18 @@
 	member := slices.IndexFunc(l.recipients, func(r *recipient) bool { return r.groupMember })
 	id := l.recipients[member].ID
 	l.Introduce(id)
-	told := false
+	informed := false
 	for now := 4000.0; now < 4100; now += l.TickMs() {
 		l.tick(now, func(to uint64, m *Message) {
 			for _, u := range m.Consumed {
 				if to != id {
-					t.Errorf("%x was told of usage", to)
+					t.Errorf("%x was sent usage", to)
 				}
-				told = told || u.Tenant == tenant && u.Units == units
+				informed = informed || u.Tenant == tenant && u.Units == units
 			}
 		})
 	}
-	if units == 0 || !told {
-		t.Error("the peer that started again was not told the usage within 0.1 s")
+	if units == 0 || !informed {
+		t.Error("the peer that started again was not sent the usage within 0.1 s")
 	}
 }
--- a/dataplane/limiter/exceeded_test.go
+++ b/dataplane/limiter/exceeded_test.go
@@ -45,8 +45,9 @@
 
 // A soak of 90 processes, seed 804, had 37 requests of a tenant in 5 s where 35 are allowed; 35 limiters had admitted
 // them, 33 of which had run all day. The tenant asked for 17 times its limit. What limiters admit before they have
-// heard of each other is forgiven where it comes to more than two seconds of the limit, and while all wait for the
-// bucket to be positive again each saves up a request, so that all admit it within the time that gossip takes.
+// received each other's usage is forgiven where it comes to more than two seconds of the limit, and while all wait
+// for the bucket to be positive again each saves up a request, so that all admit it within the time that gossip
+// takes.
 func TestQuotaWhereGossipIsLate(t *testing.T) {
 	t.Parallel()
 	for _, c := range []struct{ rate, times float64 }{{5, 17}, {10, 17}, {20, 7.5}, {459, 7.5}} {
@@ -56,7 +57,7 @@
 
 // The same for a surge that is over before it is known: 17 times a limit of 20 a second are 200 requests in the 0.6 s
 // that two messages take with their pauses, where 152 are allowed in 5 s. Each limiter has some four of them a second,
-// too few to tell a surge by.
+// too few to conclude a surge from.
 func TestSurgeOfSmallQuotaWhereGossipIsLate(t *testing.T) {
 	t.Parallel()
 	hotFor(t, 90, quota.Plan{Rate: 20, Burst: 20}, 17, 200, 20_000)
--- a/dataplane/limiter/partition_test.go
+++ b/dataplane/limiter/partition_test.go
@@ -44,24 +44,24 @@
 type partition map[[2]uint64]bool
 
 // randomPartition draws a pattern, and the limiters that it concerns.
-func randomPartition(rng *rand.Rand, ids []uint64) (name string, p partition, apart []uint64) {
+func randomPartition(rng *rand.Rand, ids []uint64) (name string, p partition, separated []uint64) {
 	p = partition{}
 	oneWay := rng.IntN(2) == 0
 	kind := rng.IntN(4)
 	switch kind {
 	case 0:
-		apart = p.addRandomPairs(rng, ids, oneWay)
+		separated = p.addRandomPairs(rng, ids, oneWay)
 	case 1:
-		apart = p.addIsolatedLimiters(rng, ids, oneWay)
+		separated = p.addIsolatedLimiters(rng, ids, oneWay)
 	case 2: // two sets from each other, while the rest receives from both
 		a := randomSubset(rng, ids, 0.1+0.4*rng.Float64())
 		b := randomSubset(rng, ids, 0.1+0.4*rng.Float64())
 		p.separate(a, b, oneWay)
-		apart = append(slices.Clone(a), b...)
+		separated = append(slices.Clone(a), b...)
 	case 3:
 		p.addLossyZones(rng, ids)
 	}
-	return fmt.Sprintf("kind %d, one way %v", kind, oneWay), p, apart
+	return fmt.Sprintf("kind %d, one way %v", kind, oneWay), p, separated
 }
 
 // randomSubset returns about a share of the ids.
@@ -86,24 +86,24 @@
 }
 
 // addRandomPairs separates pairs of limiters.
-func (p partition) addRandomPairs(rng *rand.Rand, ids []uint64, oneWay bool) (apart []uint64) {
+func (p partition) addRandomPairs(rng *rand.Rand, ids []uint64, oneWay bool) (separated []uint64) {
 	for range 1 + rng.IntN(len(ids)/3) {
 		a, b := ids[rng.IntN(len(ids))], ids[rng.IntN(len(ids))]
 		p.separate([]uint64{a}, []uint64{b}, oneWay)
-		apart = append(apart, a, b)
+		separated = append(separated, a, b)
 	}
-	return apart
+	return separated
 }
 
 // addIsolatedLimiters separates a few limiters from each other and from some of the rest.
-func (p partition) addIsolatedLimiters(rng *rand.Rand, ids []uint64, oneWay bool) (apart []uint64) {
+func (p partition) addIsolatedLimiters(rng *rand.Rand, ids []uint64, oneWay bool) (separated []uint64) {
 	for range 1 + rng.IntN(3) {
-		apart = append(apart, ids[rng.IntN(len(ids))])
+		separated = append(separated, ids[rng.IntN(len(ids))])
 	}
 	rest := randomSubset(rng, ids, 0.2+0.6*rng.Float64())
-	p.separate(apart, rest, oneWay)
-	p.separate(apart, apart, false)
-	return append(apart, rest[:min(2, len(rest))]...)
+	p.separate(separated, rest, oneWay)
+	p.separate(separated, separated, false)
+	return append(separated, rest[:min(2, len(rest))]...)
 }
 
 // addLossyZones loses messages between most pairs of limiters of two zones.
--- a/dataplane/quota/counters.go
+++ b/dataplane/quota/counters.go
@@ -1,6 +1,6 @@
 package quota
 
-// Counters count what an [Enforcer] has decided since its start. They tell apart why a quota was exceeded, or left
+// Counters count what an [Enforcer] has decided since its start. They show why a quota was exceeded, or left
 // unused (docs/incidents/0025).
 type Counters struct {
 	Admitted      uint64  // requests
--- a/dataplane/quota/inherit.go
+++ b/dataplane/quota/inherit.go
@@ -6,8 +6,8 @@
 // fullLevel is the fill level of a full bucket in [Usage].
 const fullLevel = 255
 
-// seniorityMs is by how much longer than this limiter a peer must have run for its report to count: it has heard from
-// others by then.
+// seniorityMs is by how much longer than this limiter a peer must have run for its report to count: it has received
+// from others by then.
 const seniorityMs = 500.0
 
 // lowReportMs is how long a report of an empty bucket holds for a limiter that has just started: longer than peers wait
@@ -16,10 +16,9 @@
 
 // inheritance is the state of a bucket that takes over its balance from peers.
 //
-// The buckets of all limiters are copies of one bucket. A limiter that has just started has
-// not heard what was saved up in it, or what is owed. Without the peers' balance, requests would be refused
-// here until the bucket has filled, although the tenant is far below its quota; or they would be admitted
-// while the peers pay back.
+// The buckets of all limiters are copies of one bucket. A limiter that has just started has not received what was
+// saved up in it, or what has to be paid back. Without the peers' balance, requests would be refused here until the
+// bucket has filled, although the tenant is far below its quota; or they would be admitted while the peers pay back.
 type inheritance struct {
 	awaited bool    // a peer's report of the balance is still of use
 	balance float64 // to take over as soon as this limiter shares with most peers; 0: nothing
@@ -34,8 +33,8 @@
 	}
 }
 
-// expects tells whether a report of the balance is of use: for a while after this limiter's start, and as long as peers
-// go on to report that the bucket is empty.
+// expects reports whether a report of the balance is of use: for a while after this limiter's start, and as long as
+// peers go on to report that the bucket is empty.
 func (i *inheritance) expects(now, startedAt float64) bool {
 	if i.awaited && now-startedAt > inheritWindowMs && now-i.lowAt > lowReportMs {
 		i.awaited = false
@@ -43,7 +42,8 @@
 	return i.awaited
 }
 
-// heldEmpty tells whether peers report that the bucket is empty: nothing is admitted here until they report otherwise.
+// heldEmpty reports whether peers report that the bucket is empty: nothing is admitted here until they report
+// otherwise.
 func (i *inheritance) heldEmpty(now float64) bool {
 	return i.awaited && i.lowAt > 0 && now-i.lowAt <= lowReportMs
 }
--- a/dataplane/quota/inherit_test.go
+++ b/dataplane/quota/inherit_test.go
@@ -53,8 +53,8 @@
 }
 
 // A limiter goes on to report a bucket that is low although nobody has new units, so that one that has just started
-// hears of it; not one that is well filled.
-func TestLowBucketIsReportedAgain(t *testing.T) {
+// receives it; not one that is well filled.
+func TestLowBucketIsReportedRepeatedly(t *testing.T) {
 	for _, c := range []struct {
 		units  int
 		wanted bool
--- a/dataplane/quota/lateness.go
+++ b/dataplane/quota/lateness.go
@@ -10,19 +10,19 @@
 // its sender's age. What the receiver's clock is ahead of that age is least for the message that was quickest; what it
 // is more for another one is how much longer that one took, in queues, on links, or at a process that stood still.
 type lateness struct {
-	leastOffset float64
-	at          float64 // time of the last message; 0: none yet
-	ms          float64 // of the last message
+	minOffset float64
+	at        float64 // time of the last message; 0: none yet
+	ms        float64 // of the last message
 }
 
 // observe notes a message that is received now, and returns how much later it came than the quickest one.
 func (l *lateness) observe(now, senderAgeMs float64) (ms float64) {
 	offset := now - senderAgeMs
 	if l.at == 0 {
-		l.leastOffset = offset
+		l.minOffset = offset
 	}
-	l.leastOffset = math.Min(offset, l.leastOffset+offsetDriftPerMs*(now-l.at))
-	l.at, l.ms = now, offset-l.leastOffset
+	l.minOffset = math.Min(offset, l.minOffset+offsetDriftPerMs*(now-l.at))
+	l.at, l.ms = now, offset-l.minOffset
 	return l.ms
 }
 
--- a/dataplane/quota/lateness_test.go
+++ b/dataplane/quota/lateness_test.go
@@ -45,7 +45,7 @@
 	}
 }
 
-// The counters tell apart what was rejected, and what was drawn or not.
+// The counters distinguish what was rejected, and what was drawn or not.
 func TestCountersOfDecisions(t *testing.T) {
 	f := newFleet(2, Plan{Rate: 10, Burst: 10})
 	e := f.limiters[0]
--- a/dataplane/quota/pacing.go
+++ b/dataplane/quota/pacing.go
@@ -19,7 +19,7 @@
 // all limiters sum up to one. The more the bucket holds, the more a limiter may admit, and once the bucket
 // is well filled pacing ends: usage may move to other limiters, and a tenant that asks for less than
 // its quota must not be held back (docs/incidents/0019). Each end lets all limiters admit what they are asked
-// for until they hear of each other. Where that has come to much, as gossip is late, two such moments in one
+// for until they receive each other's usage. Where that has come to much, as gossip is late, two such moments in one
 // window of the rule exceed the quota: pacing ends a window later then (docs/incidents/0025).
 const (
 	// pacingEndLevel is the part of the burst from which on a bucket counts as filled again.
--- a/dataplane/quota/pacing_test.go
+++ b/dataplane/quota/pacing_test.go
@@ -3,11 +3,11 @@
 import "testing"
 
 // playOn sends requests at a rate to some of the limiters alone, and returns how many were admitted.
-func (f *fleet) playOn(first, last int, fromMs, toMs, perS float64) (asked, admitted int) {
+func (f *fleet) playOn(first, last int, fromMs, toMs, perS float64) (requested, admitted int) {
 	for now := fromMs; now < toMs; now += 10 {
 		for i, l := range f.limiters {
 			if i >= first && i < last && f.rng.Float64() < perS/100/float64(last-first) {
-				asked++
+				requested++
 				if _, ok := l.Admit(now, tenantID); ok {
 					admitted++
 				}
@@ -20,7 +20,7 @@
 			}
 		}
 	}
-	return asked, admitted
+	return requested, admitted
 }
 
 // An exhausted bucket gives each limiter its part of the refill and no more, also to one that hears
@@ -48,8 +48,8 @@
 	f := newFleet(10, p)
 	f.playOn(0, 10, 0, 5000, 600)
 	f.playOn(0, 10, 5000, 7000, 0)
-	if asked, admitted := f.playOn(9, 10, 7000, 12000, 0.8*p.Rate); admitted < asked {
-		t.Errorf("%d of %d admitted", admitted, asked)
+	if requested, admitted := f.playOn(9, 10, 7000, 12000, 0.8*p.Rate); admitted < requested {
+		t.Errorf("%d of %d admitted", admitted, requested)
 	}
 }
 
--- a/dataplane/quota/report.go
+++ b/dataplane/quota/report.go
@@ -30,7 +30,7 @@
 	extraWaitStepMs     = 20.0  // ... in ticks of a large fleet: half a tick more would be half a tick late
 )
 
-// What a limiter that has just started is told of usage.
+// What is reported of usage to a limiter that has just started.
 const (
 	maxIntroduced   = 96       // tenants, two messages
 	introducedAgeMs = 10_000.0 // since the last report: what a quota's window can reach, and a time to spare
@@ -80,9 +80,9 @@
 	return out
 }
 
-// Introduction is the usage to tell a limiter that has just started, appended to out: this limiter's totals, or its
-// group's, of the tenants that are in use, maxIntroduced at most. Sums that it receives for the first time are where it
-// begins to count: it would leave out the units that come with the first sum.
+// Introduction is the usage to report to a limiter that has just started, appended to out: this limiter's totals, or
+// its group's, of the tenants that are in use, maxIntroduced at most. Sums that it receives for the first time are
+// where it begins to count: it would leave out the units that come with the first sum.
 func (e *Enforcer) Introduction(now float64, ofGroup bool, out []Usage) []Usage {
 	for id, t := range e.tenants {
 		c := &t.admitted
@@ -101,8 +101,8 @@
 	return out
 }
 
-// repeatsLow tells whether the report of a tenant is repeated although there are no new units, and marks it as due: as
-// long as the bucket is low, a limiter that has just started must hear of it (inherit.go).
+// repeatsLow reports whether the report of a tenant is repeated although there are no new units, and marks it as due:
+// as long as the bucket is low, a limiter that has just started must receive it (inherit.go).
 func (e *Enforcer) repeatsLow(now float64, t *tenant, c *usageCounter) bool {
 	e.refill(now, t)
 	if t.plan.Rate <= 0 || t.balance >= lowBalance*t.plan.Burst {
--- a/dataplane/quota/surge.go
+++ b/dataplane/quota/surge.go
@@ -2,7 +2,7 @@
 
 import "math"
 
-// Surges that are noticed before they are heard of.
+// Surges that are noticed before gossip brings them.
 //
 // When a tenant surges, its requests surge at all limiters at about the same time. Each knows its own at once, and
 // those of the others only when gossip brings them: behind downloads on a full link, or at a processor that is busy, in
--- a/dataplane/quota/surge_test.go
+++ b/dataplane/quota/surge_test.go
@@ -5,9 +5,9 @@
 // calm has a tenant be in use at all limiters alike for 10 s, at 0.6 of its rate.
 func (f *fleet) calm(p Plan) { f.play(0, 10_000, 0.6*p.Rate) }
 
-// A limiter whose requests surge is paced before it hears that those of the others do: it admits little more than its
-// part of the burst and of the refill, and not all that it is asked for.
-func TestSurgeIsNoticedBeforeItIsHeardOf(t *testing.T) {
+// A limiter whose requests surge is paced before it receives that those of the others do: it admits little more than
+// its part of the burst and of the refill, and not all that it is asked for.
+func TestSurgeIsNoticedBeforeGossipBringsIt(t *testing.T) {
 	p := Plan{Rate: 400, Burst: 400}
 	f := newFleet(10, p)
 	f.calm(p)
@@ -86,7 +86,7 @@
 		}
 	}
 	admitted := 0
-	for _, l := range f.limiters { // none has heard of another yet
+	for _, l := range f.limiters { // none has received from another yet
 		if _, ok := l.Admit(now, tenantID); ok {
 			admitted++
 		}
--- a/lab/checker/quota.go
+++ b/lab/checker/quota.go
@@ -84,9 +84,9 @@
 	l.acknowledged = append(l.acknowledged, now)
 }
 
-// settleLimits shortens the periods that ended with an acknowledgement after which all machines were in touch. Called
+// endLimits shortens the periods that ended with an acknowledgement after which all machines were in touch. Called
 // under the mutex, at the end of the day.
-func (l *Log) settleLimits() {
+func (l *Log) endLimits() {
 	for _, at := range l.acknowledged {
 		applied := at + ConfigApplyMs*time.Millisecond
 		if !l.allInTouch(span{at, applied}) {
@@ -112,20 +112,20 @@
 	return true
 }
 
-// mostAllowed is the most of a tenant's requests that may run in a window: one that two limits reach into is judged
+// maxAllowed is the most of a tenant's requests that may run in a window: one that two limits reach into is judged
 // by the higher one. Called under the mutex.
-func (l *Log) mostAllowed(tenant string, window span) float64 {
-	most, limited := 0.0, false
+func (l *Log) maxAllowed(tenant string, window span) float64 {
+	highest, limited := 0.0, false
 	for i := range l.limits[tenant] {
 		p := &l.limits[tenant][i]
 		if p.from <= window.to && (p.until == 0 || p.until >= window.from) {
-			most, limited = max(most, p.allowed()), true
+			highest, limited = max(highest, p.allowed()), true
 		}
 	}
 	if !limited {
 		return math.Inf(1)
 	}
-	return most
+	return highest
 }
 
 // QuotaUse is how near a tenant has come to its quota: the window of [QuotaWindowS] that was nearest.
@@ -148,7 +148,7 @@
 
 // checkQuotas checks the quotas of all tenants. Called under the mutex.
 func (l *Log) checkQuotas() {
-	l.settleLimits()
+	l.endLimits()
 	byTenant := map[string][]tenantRun{}
 	for id, runs := range l.runs {
 		attempt := l.sent[id]
@@ -170,7 +170,7 @@
 		for end-runs[oldest].at > window {
 			oldest++
 		}
-		allowed := l.mostAllowed(tenant, span{end - window, end})
+		allowed := l.maxAllowed(tenant, span{end - window, end})
 		use := QuotaUse{Tenant: tenant, EndS: end.Seconds(), Ran: newest - oldest + 1, Allowed: allowed}
 		if use.Share() > nearest.Share() {
 			nearest, nearestOldest = use, oldest
@@ -187,8 +187,8 @@
 	}
 }
 
-// describeWindow says who admitted the requests of a window: without it one can't tell whether limiters forgot with a
-// restart what had been used, or heard of it late. Called under the mutex.
+// describeWindow says who admitted the requests of a window: without it one can't see whether limiters forgot with a
+// restart what had been used, or received it late. Called under the mutex.
 func (l *Log) describeWindow(runs []tenantRun) string {
 	machines, young := map[string]bool{}, map[string]bool{}
 	byYoung, sentBefore := 0, 0
--- a/lab/checker/quota_test.go
+++ b/lab/checker/quota_test.go
@@ -79,7 +79,7 @@
 	}
 }
 
-// What is said of an exceeded quota tells processes that have just started from others.
+// What is said of an exceeded quota distinguishes processes that have just started from others.
 func TestExceededQuotaNamesYoungProcesses(t *testing.T) {
 	d := newDay()
 	d.at(0, func() { d.Started("m") })
--- a/lab/emulator/quotametrics.go
+++ b/lab/emulator/quotametrics.go
@@ -19,7 +19,7 @@
 	sampledMachines = 6
 )
 
-// Names of the metrics that tell why a quota was exceeded, or left unused.
+// Names of the metrics that show why a quota was exceeded, or left unused.
 const (
 	latenessMetric      = "elmspan_gossip_lateness_seconds"
 	forgivenMetric      = "elmspan_quota_forgiven_units_total"
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -187,9 +187,9 @@
 	if rng.IntN(3) > 0 {
 		return nil
 	}
-	most := day.PerZone * Zones * 6 / 10
+	limit := day.PerZone * Zones * 6 / 10
 	return series(rng, day, 2+rng.IntN(4), 1.5, func() scenario.Fault {
-		return scenario.Fault{Kind: scenario.KillNodes, Count: 1 + rng.IntN(max(1, most)), ForS: 0.5}
+		return scenario.Fault{Kind: scenario.KillNodes, Count: 1 + rng.IntN(max(1, limit)), ForS: 0.5}
 	})
 }
 
--- a/lab/soak/day_test.go
+++ b/lab/soak/day_test.go
@@ -74,7 +74,7 @@
 }
 
 // On most days some tenants ask for more than their limits all day: only then is the rule on quotas near its bound.
-func TestTenantsAskForMoreThanTheirLimits(t *testing.T) {
+func TestTenantsExceedTheirLimits(t *testing.T) {
 	const seeds = 200
 	days := 0
 	for seed := range uint64(seeds) {
