--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -31,6 +31,12 @@
 	QuotaSlack     = 20.0 // requests that may come on top
 )
 
+// Figures of the rule on routes that are added during the day.
+const (
+	minAddedRouteRequests = 20
+	addedRouteShare       = 0.25 // of the share that is served on the first routes
+)
+
 // maxViolations are kept word for word; the others are counted.
 const maxViolations = 20
 
@@ -79,6 +85,8 @@
 	Body   uint32 // checksum of what was sent
 	// Machine is the limiter that it is sent to.
 	Machine string
+	// OnAddedRoute: its route was added during the day, and must be in force by now.
+	OnAddedRoute bool
 
 	at           time.Duration
 	status       int           // 0: no answer
@@ -235,6 +243,7 @@
 	}
 	l.checkQuotas()
 	l.checkServersPerRequest()
+	l.checkAddedRoutes()
 	l.checkConnections()
 	for _, service := range slices.Sorted(maps.Keys(l.retries)) {
 		l.checkRetryBudget(service)
@@ -285,6 +294,33 @@
 	}
 }
 
+// checkAddedRoutes checks that routes which were added during the day are served like the first ones. Called under the
+// mutex.
+func (l *Log) checkAddedRoutes() {
+	var sent, served [2]int // on first routes, on added ones
+	for _, a := range l.sent {
+		if a.status == http.StatusTooManyRequests || a.left > 0 || !l.inTouch(a.Machine, span{a.at, a.at}) {
+			continue
+		}
+		route := 0
+		if a.OnAddedRoute {
+			route = 1
+		}
+		sent[route]++
+		if a.status/100 == 2 {
+			served[route]++
+		}
+	}
+	if sent[1] < minAddedRouteRequests || sent[0] == 0 {
+		return
+	}
+	first, added := float64(served[0])/float64(sent[0]), float64(served[1])/float64(sent[1])
+	if added < addedRouteShare*first {
+		l.violation(ruleConfig, "on added routes %d of %d were served, on the first ones %d of %d",
+			served[1], sent[1], served[0], sent[0])
+	}
+}
+
 // saysNotExecuted reports whether a status promises that the request has not run.
 func saysNotExecuted(status int) bool {
 	switch status {
--- a/lab/checker/log_test.go
+++ b/lab/checker/log_test.go
@@ -136,3 +136,24 @@
 		}
 	}
 }
+
+// Routes that were added during the day and are served far less often than the first ones break CONFIG.
+func TestAddedRoutesAreServedLikeTheFirst(t *testing.T) {
+	for served, broken := range map[int]bool{4: true, 10: false} {
+		l := New(scenario.RetryBudget{}, func() time.Duration { return time.Minute })
+		for i := range 80 {
+			id := fmt.Sprint("r", i)
+			l.Sent(id, &Attempt{Class: lookup, Tenant: "t", Machine: "m", OnAddedRoute: i < 40})
+			if i >= 40 || i < served {
+				l.Ran(id, Run{Service: "search", Tenant: "t", Member: "s"}, false)
+				l.Answered(id, 200, Seal("s", id, nil), nil)
+			} else {
+				l.Answered(id, 503, "", nil)
+			}
+		}
+		l.Finish()
+		if got := l.violationCounts[ruleConfig] > 0; got != broken {
+			t.Errorf("%d of 40 served: broken %v: %v", served, got, l.violations)
+		}
+	}
+}
--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -78,11 +78,21 @@
 	key    func() string
 	// giveUpAfter is how long the client stays; 0: until the deadline. It leaves without a further attempt.
 	giveUpAfter time.Duration
+	// addedRoute: on the class's route that was added during the day.
+	addedRoute bool
 	// keeps: what must not run twice is sent on kept connections too.
 	keeps  bool
 	events attemptEvents // nil: nobody wants to know
 }
 
+// routeName is the first segment of the request's path.
+func (r *request) routeName() string {
+	if r.addedRoute {
+		return addedRoutePrefix + r.class.Name
+	}
+	return r.class.Name
+}
+
 // attemptEvents is told what becomes of attempts.
 type attemptEvents interface {
 	sent(id, target, key string, body []byte)
@@ -202,7 +212,7 @@
 	}
 	_, err := fmt.Fprintf(conn, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\n"+
 		"Authorization: Token %s\r\nTenant-Name: nobody\r\nContent-Length: %d\r\n\r\n%s",
-		method, r.class.Name, id, c.host, id, max(1, time.Until(deadline).Milliseconds()), key, len(body), body)
+		method, r.routeName(), id, c.host, id, max(1, time.Until(deadline).Milliseconds()), key, len(body), body)
 	if err != nil {
 		return nil, nil, err
 	}
--- a/lab/emulator/fleet.go
+++ b/lab/emulator/fleet.go
@@ -290,6 +290,7 @@
 	for i := range f.spec.Classes {
 		if c := &f.spec.Classes[i]; c.Service == service.Name {
 			classes["/"+c.Name+"/"] = c
+			classes["/"+addedRoutePrefix+c.Name+"/"] = c
 		}
 	}
 	incarnation := f.servers.Add(1)
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -136,6 +136,7 @@
 // request is one client's request, with its retries.
 func (l *load) request(class *scenario.Class, a arrival) {
 	begun := time.Now()
+	added := a.sequence%2 == 0 && l.fleet.operator.knownAddedRoutes()
 	status, attempts, gaveUp := l.client.sendUntil(context.Background(), request{
 		class:  class,
 		target: func(attempt int) string { return l.target(a.home, attempt) },
@@ -144,8 +145,9 @@
 		},
 		key:         func() string { return l.fleet.operator.key(a.tenant.Name) },
 		giveUpAfter: a.giveUpAfter,
+		addedRoute:  added,
 		keeps:       true,
-		events:      &loggedAttempts{l.fleet.log, class, a.tenant.Name},
+		events:      &loggedAttempts{l.fleet.log, class, a.tenant.Name, added},
 	})
 	if !gaveUp { // what a client gives up early is not owed
 		l.counter.Add(class, l.fleet.since(begun), status, attempts, time.Since(begun))
@@ -157,15 +159,17 @@
 	log    *checker.Log
 	class  *scenario.Class
 	tenant string
+	added  bool // on a route that was added during the day
 }
 
 func (e *loggedAttempts) sent(id, target, key string, body []byte) {
 	e.log.Sent(id, &checker.Attempt{
-		Class:   e.class,
-		Tenant:  e.tenant,
-		Key:     key,
-		Body:    crc32.ChecksumIEEE(body),
-		Machine: target,
+		Class:        e.class,
+		Tenant:       e.tenant,
+		Key:          key,
+		Body:         crc32.ChecksumIEEE(body),
+		Machine:      target,
+		OnAddedRoute: e.added,
 	})
 }
 
--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -16,12 +16,16 @@
 	"example.org/elmspan/api"
 	"example.org/elmspan/internal/backoff"
 	"example.org/elmspan/lab/checker"
+	"example.org/elmspan/lab/scenario"
 )
 
 const (
 	callTimeout = time.Second
 	maxCalls    = 60 // of one change
 	replacePath = "/v1/Config.Replace"
+
+	// addedRoutePrefix is what the first segment of a path begins with on routes that are added during the day.
+	addedRoutePrefix = "added-"
 )
 
 // operator brings configurations, one at a time, and reads the newest back.
@@ -33,16 +37,18 @@
 	// It is taken before mu.
 	bringing sync.Mutex
 
-	mu       sync.Mutex
-	base     uint64              // revision that was acknowledged last
-	body     []byte              // ... and its encoded configuration
-	keys     map[string][]string // of tenants, as the configuration has them
-	keyInUse map[string]string   // the one that a tenant's clients use
-	issued   int                 // keys beside each tenant's first
-	timeout  float64             // factor on the routes' time-outs
-	quotas   map[string]float64  // factors on the tenants' first limits; none: 1
-	missed   int                 // changes that were never acknowledged
-	acks     []time.Duration     // how long each acknowledgement took
+	mu          sync.Mutex
+	base        uint64              // revision that was acknowledged last
+	body        []byte              // ... and its encoded configuration
+	keys        map[string][]string // of tenants, as the configuration has them
+	keyInUse    map[string]string   // the one that a tenant's clients use
+	issued      int                 // keys beside each tenant's first
+	timeout     float64             // factor on the routes' time-outs
+	quotas      map[string]float64  // factors on the tenants' first limits; none: 1
+	addsRoutes  bool                // each class has a second route from now on
+	routesAdded time.Time           // when a configuration with these routes was acknowledged; zero: not yet
+	missed      int                 // changes that were never acknowledged
+	acks        []time.Duration     // how long each acknowledgement took
 }
 
 func newOperator(f *Fleet) *operator {
@@ -93,17 +99,13 @@
 		c.Upstreams = append(c.Upstreams,
 			api.Upstream{Name: v.Name, HealthCheck: "/health", MaxConnections: 200, Protocol: "h1"})
 	}
-	for _, k := range day.Classes {
-		c.Routes = append(c.Routes, api.Route{
-			Name:      "r-" + k.Name,
-			Host:      hostName,
-			Prefix:    "/" + k.Name + "/",
-			Type:      k.Type,
-			TimeoutMs: k.DeadlineMs * o.timeout,
-			TargetMs:  k.TargetMs,
-			Upstream:  k.Service,
-			Retries:   checker.RouteRetries,
-		})
+	for i := range day.Classes {
+		c.Routes = append(c.Routes, o.route(&day.Classes[i], ""))
+	}
+	if o.addsRoutes {
+		for i := range day.Classes {
+			c.Routes = append(c.Routes, o.route(&day.Classes[i], addedRoutePrefix))
+		}
 	}
 	for _, t := range day.Tenants {
 		rate := day.Rate(&t)
@@ -116,6 +118,27 @@
 	return c
 }
 
+// route is a class's route, with what its path begins with before the class's name. Called under the mutex.
+func (o *operator) route(k *scenario.Class, prefix string) api.Route {
+	return api.Route{
+		Name:      "r-" + prefix + k.Name,
+		Host:      hostName,
+		Prefix:    "/" + prefix + k.Name + "/",
+		Type:      k.Type,
+		TimeoutMs: k.DeadlineMs * o.timeout,
+		TargetMs:  k.TargetMs,
+		Upstream:  k.Service,
+		Retries:   checker.RouteRetries,
+	}
+}
+
+// knownAddedRoutes reports whether the added routes must be in force everywhere.
+func (o *operator) knownAddedRoutes() bool {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return !o.routesAdded.IsZero() && time.Since(o.routesAdded) > checker.ConfigApplyMs*time.Millisecond
+}
+
 func (o *operator) first(ctx context.Context) error {
 	if !o.bring(ctx) {
 		return fmt.Errorf("emulator: the first configuration was not acknowledged; see the logs below %s", o.fleet.dir)
@@ -127,6 +150,7 @@
 func (o *operator) change(ctx context.Context) bool {
 	o.mu.Lock()
 	o.timeout = 1.5 - o.timeout/2
+	o.addsRoutes = true
 	o.mu.Unlock()
 	return o.bring(ctx)
 }
@@ -174,6 +198,9 @@
 	o.mu.Lock()
 	defer o.mu.Unlock()
 	o.base, o.body, o.acks = revision, body, append(o.acks, took)
+	if o.addsRoutes && o.routesAdded.IsZero() && bytes.Contains(body, []byte(addedRoutePrefix)) {
+		o.routesAdded = time.Now()
+	}
 	o.fleet.log.QuotasAcknowledged(revision)
 }
 
