Quotas: phases by tenant, a fixed order of sums, a surge concluded only where gossip takes long

Cause: the phase with which pacing begins was drawn by a tenant's row, and rows follow the order of a map; so did the order in which lateness is summed up. Phases go by the tenant's id, peers are sorted. With other phases TestPacingEndsWhenTheBucketIsFilled failed (367 of 391): it had passed by the phase of row 0. Cause: in a fleet that exchanges usage within some milliseconds a tenant that moved to one limiter was taken for one that surges everywhere. There the time of gossip is now 10 ms and what messages are late; with groups it stays at 175 ms. Pacing lasts for a window from a debt of half a burst on, a quarter before.

--- a/dataplane/quota/groups.go
+++ b/dataplane/quota/groups.go
@@ -1,6 +1,10 @@
 package quota
 
-import "math/bits"
+import (
+	"cmp"
+	"math/bits"
+	"slices"
+)
 
 // In a small fleet each limiter reports its usage to all others. In a large one that would
 // be as many messages for each as there are limiters. There, limiters form groups by their
@@ -97,6 +101,8 @@
 		}
 		e.groups[id].size++
 	}
+	// In a fixed order: the sum of the peers' lateness depends on it in its last digits.
+	slices.SortFunc(s.groupPeers, func(a, b *peer) int { return cmp.Compare(a.ID, b.ID) })
 }
 
 // updateLevel sets the grouping level by the size of the fleet.
--- a/dataplane/quota/pacing.go
+++ b/dataplane/quota/pacing.go
@@ -26,7 +26,7 @@
 	pacingEndLevel = 0.25
 	// pacingDebt is the part of the burst below zero from which on pacing lasts for a window of the rule. Larger: a
 	// tenant's usage moves sooner. Smaller: the quota holds with gossip that is later.
-	pacingDebt = 0.25
+	pacingDebt = 0.5
 	// pacingGain is how much faster than its part of the refill a limiter may admit with a full
 	// bucket. Larger: usage moves to other limiters sooner. Smaller: less is admitted before others
 	// are received from. Its product with rate/burst and the age of usage reports in seconds must stay
@@ -61,10 +61,10 @@
 
 // pacingPhase is the phase of a token with which pacing begins, another one at each limiter: with the same one, the
 // limiters of a large fleet would have their next whole token at the same time.
-func (e *Enforcer) pacingPhase(row int32) float64 {
-	var b [12]byte
+func (e *Enforcer) pacingPhase(tenant uint64) float64 {
+	var b [16]byte
 	binary.BigEndian.PutUint64(b[:], e.self.ID)
-	binary.BigEndian.PutUint32(b[8:], uint32(row))
+	binary.BigEndian.PutUint64(b[8:], tenant)
 	return float64(xxhash.Sum64(b[:])>>32) / (1 << 32)
 }
 
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -124,7 +124,7 @@
 	for id, plan := range put {
 		t := e.tenants[id]
 		if t == nil {
-			e.tenants[id] = e.newTenant(now, plan)
+			e.tenants[id] = e.newTenant(now, id, plan)
 			continue
 		}
 		e.refill(now, t)
@@ -137,13 +137,13 @@
 
 // newTenant returns a tenant whose bucket holds this limiter's share of the burst, and what
 // the plan has refilled since this limiter's start.
-func (e *Enforcer) newTenant(now float64, plan Plan) *tenant {
+func (e *Enforcer) newTenant(now float64, id uint64, plan Plan) *tenant {
 	limiters := float64(len(e.peers) + 1)
 	row, started := e.rows.allocate(), now-e.startedAt
 	t := &tenant{
 		plan:      plan,
 		row:       row,
-		pacing:    pacing{phase: e.pacingPhase(row)},
+		pacing:    pacing{phase: e.pacingPhase(id)},
 		inherited: inheritance{awaited: started <= inheritWindowMs},
 		balance:   min(plan.Burst, plan.Burst/limiters+plan.Rate*started/millisPerSecond),
 		updatedAt: now,
--- a/dataplane/quota/surge.go
+++ b/dataplane/quota/surge.go
@@ -14,9 +14,10 @@
 	// knownUsageDecayMs is the time constant of the usage from which a limiter's share is known. Larger: a surge after
 	// a pause is noticed. Smaller: a tenant whose requests move to other limiters has its burst there sooner.
 	knownUsageDecayMs = 60_000.0
-	// unheardPart is the part of the liveness time-out that gossip takes when it is not late. Larger: surges are held
-	// back sooner. Smaller: a tenant within its quota is held back less.
-	unheardPart = 0.25
+	// gossipTakesMs is the time that gossip takes when it is not late, and groupedGossipTakesMs the same in a fleet
+	// that forms groups. Larger: surges are held back sooner. Smaller: a tenant within its quota is held back less.
+	gossipTakesMs        = 10.0
+	groupedGossipTakesMs = 175.0
 	// minSurgeUnits is how many units there must have been of late to conclude anything from them.
 	minSurgeUnits = 2.5
 )
@@ -65,6 +66,9 @@
 
 // gossipMs is about the time until units that are admitted now are known to all.
 func (e *Enforcer) gossipMs() float64 {
-	timeout := e.livenessTimeout()
-	return unheardPart*timeout + min(e.sharing.meanLateness, timeout)
+	takes := gossipTakesMs
+	if e.level > 0 {
+		takes = groupedGossipTakesMs
+	}
+	return takes + min(e.sharing.meanLateness, e.livenessTimeout())
 }
