Low buckets are repeated at leisure; only younger peers are introduced

Cause: a low bucket that is reported again without new units counted as urgent, so it had a message of its own. It goes with other messages now, each 0.5 s, and at the start of a fleet nobody is introduced to anybody.

--- a/dataplane/gossip/greeting.go
+++ b/dataplane/gossip/greeting.go
@@ -24,9 +24,14 @@
 	sentAt     float64
 }
 
-// NoteAge notes the age of a limiter that a message came from.
-func (d *Disseminator) NoteAge(now, ageMs float64) {
-	d.greeting.wanted = d.greeting.wanted || ageMs > now-d.startedAt+seniorityMs
+// NoteStart notes the age of a limiter of which a first message has come since its start: whether this limiter or the
+// other one has to be introduced.
+func (d *Disseminator) NoteStart(now float64, from uint64, ageMs float64) {
+	own := now - d.startedAt
+	d.greeting.wanted = d.greeting.wanted || ageMs > own+seniorityMs
+	if own > ageMs+seniorityMs {
+		d.Introduce(from)
+	}
 }
 
 // greetReporters has the limiters of other groups that report to this one be greeted.
--- a/dataplane/quota/report.go
+++ b/dataplane/quota/report.go
@@ -12,6 +12,8 @@
 	urgentMs         = 60.0  // between reports of an urgent tenant
 	relaxedMs        = 250.0 // between a limiter's reports of another tenant
 	groupRelaxedMs   = 700.0 // between a group's reports of another tenant
+	// lowRepeatMs is the time between reports of a low bucket without new units: half of lowReportMs at most.
+	lowRepeatMs = 500.0
 )
 
 // In a very large fleet, nearly every unit of a small tenant is the only one that a limiter
@@ -53,16 +55,20 @@
 	reported   uint64 // total at the last report
 	reportedAt float64
 	repeat     bool // the last report is due once more, against loss
+	low        bool // it is due once more as the bucket is low, at leisure
 }
 
-func (c *usageCounter) due() bool { return c.total != c.reported || c.repeat }
+func (c *usageCounter) due() bool { return c.urgent() || c.low }
+
+// urgent reports whether a report is due by what was admitted, and not only as the bucket is low.
+func (c *usageCounter) urgent() bool { return c.total != c.reported || c.repeat }
 
 func (c *usageCounter) unreported() uint64 { return c.total - c.reported }
 
 // report marks the total as reported and returns it.
 func (c *usageCounter) report(now float64) uint64 {
 	c.repeat = c.reported != c.total
-	c.reported, c.reportedAt = c.total, now
+	c.reported, c.reportedAt, c.low = c.total, now, false
 	return c.total
 }
 
@@ -108,7 +114,7 @@
 	if t.plan.Rate <= 0 || t.balance >= lowBalance*t.plan.Burst {
 		return false
 	}
-	c.repeat = c.repeat || now-c.reportedAt >= relaxedMs
+	c.low = c.low || now-c.reportedAt >= lowRepeatMs
 	return true
 }
 
@@ -121,6 +127,7 @@
 		return out
 	}
 	interval, urgent := e.reportInterval(now, t, c.unreported(), relaxedMs)
+	urgent = urgent && c.urgent()
 	if !c.due() || now-c.reportedAt < interval {
 		return out
 	}
