--- a/dataplane/gateway_test.go
+++ b/dataplane/gateway_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"io"
 	"log/slog"
@@ -288,26 +287,32 @@
 	c.want(200, "yes")
 }
 
-// Gossip messages wait for the tick, all that have come are received at one, and none wakes the
-// process by itself.
-func TestGossipIsReceivedAtATick(t *testing.T) {
-	const sent = 40
+// newIdleGateway returns a gateway that listens and is not run. unknownPeer gets the address of each message's sender.
+func newIdleGateway(t *testing.T, unknownPeer func(addr string)) *Gateway {
+	t.Helper()
 	node := nodeOf("a")
 	node.InternalPorts, node.Limits.MaxFDs = []int{0, 0}, 1000
-	received := 0
 	g, err := New(node, Options{
 		Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: settings.DefaultTuning().Upstream,
-		UnknownPeer: func(string) { received++ },
+		UnknownPeer: unknownPeer,
 	})
 	if err != nil {
 		t.Fatal(err)
 	}
 	t.Cleanup(func() {
-		err := errors.Join(g.listener.tcp.Close(), g.readiness.listener.Close(), g.gossip.socket.Close())
-		if err != nil {
+		if err := g.Close(); err != nil {
 			t.Error(err)
 		}
 	})
+	return g
+}
+
+// Gossip messages wait for the tick, all that have come are received at one, and none wakes the
+// process by itself.
+func TestGossipIsReceivedAtATick(t *testing.T) {
+	const sent = 40
+	received := 0
+	g := newIdleGateway(t, func(string) { received++ })
 	w := gossip.Message{From: 7, Incarnation: 1}
 	for range sent {
 		if err := g.gossip.socket.Send(w.Append(nil), g.gossip.socket.Addr()); err != nil {
@@ -328,22 +333,8 @@
 // A request takes in what peers have sent before it is charged to a quota, where the gossip loop is late, as in one
 // that stood still. As long as the loop is on time it does not.
 func TestLateGossipIsTakenInBeforeARequestIsAdmitted(t *testing.T) {
-	node := nodeOf("a")
-	node.InternalPorts, node.Limits.MaxFDs = []int{0, 0}, 1000
 	received := 0
-	g, err := New(node, Options{
-		Seed: 1, Log: slog.New(slog.DiscardHandler), Upstream: settings.DefaultTuning().Upstream,
-		UnknownPeer: func(string) { received++ },
-	})
-	if err != nil {
-		t.Fatal(err)
-	}
-	t.Cleanup(func() {
-		err := errors.Join(g.listener.tcp.Close(), g.readiness.listener.Close(), g.gossip.socket.Close())
-		if err != nil {
-			t.Error(err)
-		}
-	})
+	g := newIdleGateway(t, func(string) { received++ })
 	const runFor = time.Hour
 	g.guarded.clock = clock{time.Now().Add(-runFor)}
 	g.gossip.receiver = newGossipReceiver(&g.gossip)
--- a/dataplane/gossip/disseminator.go
+++ b/dataplane/gossip/disseminator.go
@@ -62,9 +62,9 @@
 	d.staleUntil = now + staleReportMs
 }
 
-// Introduce has a limiter that has just started be sent the usage of all tenants that are in use, with the next
+// introduce has a limiter that has just started be sent the usage of all tenants that are in use, with the next
 // message.
-func (d *Disseminator) Introduce(id uint64) {
+func (d *Disseminator) introduce(id uint64) {
 	for _, r := range d.recipients {
 		if r.ID == id {
 			r.introduce = true
--- a/dataplane/gossip/greeting.go
+++ b/dataplane/gossip/greeting.go
@@ -8,9 +8,6 @@
 const (
 	// greetingMs is how long after its start a limiter greets those that report to it, as it learns of them.
 	greetingMs = 1500.0
-	// seniorityMs is by how much longer others have run where a fleet ran before: one that starts as a whole has no
-	// sums to report.
-	seniorityMs = 500.0
 	// greetingPauseMs is the time between the first greeting and the second one, against loss.
 	greetingPauseMs = 100.0
 	greetings       = 2
@@ -25,51 +22,31 @@
 }
 
 // NoteStart notes the age of a limiter of which a first message has come since its start: whether this limiter or the
-// other one has to be introduced.
+// other one has to be introduced. Neither has where a fleet starts as a whole: there are no sums to report.
 func (d *Disseminator) NoteStart(now float64, from uint64, ageMs float64) {
 	own := now - d.startedAt
-	d.greeting.wanted = d.greeting.wanted || ageMs > own+seniorityMs
-	if own > ageMs+seniorityMs {
-		d.Introduce(from)
+	d.greeting.wanted = d.greeting.wanted || ageMs > own+quota.SeniorityMs
+	if own > ageMs+quota.SeniorityMs {
+		d.introduce(from)
 	}
 }
 
 // greetReporters has the limiters of other groups that report to this one be greeted.
 func (d *Disseminator) greetReporters(peers []quota.Member, level quota.GroupingLevel) {
 	byGroup := map[quota.Group][]uint64{}
-	own := level.Group(d.self)
 	for _, p := range peers {
-		if group := level.Group(p); group != own {
-			byGroup[group] = append(byGroup[group], p.ID)
-		}
+		group := level.Group(p)
+		byGroup[group] = append(byGroup[group], p.ID)
 	}
+	own := level.Group(d.self)
 	d.greeting.recipients = d.greeting.recipients[:0]
-	for _, members := range byGroup {
-		d.greeting.recipients = append(d.greeting.recipients, firstReporters(members, d.self.ID)...)
-	}
-	d.greeting.left = greetings
-}
-
-// firstReporters returns those of a group that report to a recipient: reportersPerGroup at most.
-func firstReporters(members []uint64, recipient uint64) (reporters []uint64) {
-	for _, m := range members {
-		before := 0
-		for _, other := range members {
-			if ranksBefore(other, m, recipient) {
-				before++
-			}
-		}
-		if before < reportersPerGroup {
-			reporters = append(reporters, m)
+	for _, p := range peers {
+		group := level.Group(p)
+		if group != own && reporterPlace(p.ID, byGroup[group], d.self.ID) <= reportersPerGroup {
+			d.greeting.recipients = append(d.greeting.recipients, p.ID)
 		}
 	}
-	return reporters
-}
-
-// ranksBefore reports whether one limiter reports to a recipient rather than another one.
-func ranksBefore(one, other, recipient uint64) bool {
-	a, b := reporterRank(one, recipient), reporterRank(other, recipient)
-	return a > b || a == b && one < other
+	d.greeting.left = greetings
 }
 
 // greet sends the greetings that are due.
--- a/dataplane/gossip/topology.go
+++ b/dataplane/gossip/topology.go
@@ -73,19 +73,20 @@
 	}
 	out := map[uint64]int{}
 	for _, id := range others {
-		if place := d.reporterPlace(groupMembers, id); place <= reportersPerGroup {
+		if place := reporterPlace(d.self.ID, groupMembers, id); place <= reportersPerGroup {
 			out[id] = place
 		}
 	}
 	return out
 }
 
-// reporterPlace is this limiter's place among the reporters of its group to a recipient,
+// reporterPlace is the place of a limiter among the reporters of its group to a recipient,
 // from 1; all places after reportersPerGroup are returned as the next one.
-func (d *Disseminator) reporterPlace(groupMembers []uint64, recipient uint64) int {
-	place := 1
+func reporterPlace(reporter uint64, groupMembers []uint64, recipient uint64) int {
+	place, own := 1, reporterRank(reporter, recipient)
 	for _, member := range groupMembers {
-		if !ranksBefore(member, d.self.ID, recipient) {
+		rank := reporterRank(member, recipient)
+		if rank < own || rank == own && member <= reporter { // the reporter itself may be among them
 			continue
 		}
 		if place++; place > reportersPerGroup {
--- a/dataplane/quota/inherit.go
+++ b/dataplane/quota/inherit.go
@@ -6,9 +6,9 @@
 // fullLevel is the fill level of a full bucket in [Usage].
 const fullLevel = 255
 
-// seniorityMs is by how much longer than this limiter a peer must have run for its report to count: it has received
+// SeniorityMs is by how much longer than this limiter a peer must have run for its report to count: it has received
 // from others by then.
-const seniorityMs = 500.0
+const SeniorityMs = 500.0
 
 // lowReportMs is how long a report of an empty bucket holds for a limiter that has just started: longer than peers wait
 // before they repeat it.
@@ -51,7 +51,7 @@
 // inherit has a bucket take over the fill level that a peer reports which has run for longer than this limiter. An
 // empty bucket may be far below zero: it is held empty here, until peers report that there is something in it.
 func (e *Enforcer) inherit(now float64, t *tenant, ageMs float64, fillLevel uint8) {
-	if !t.inherited.expects(now, e.startedAt) || ageMs < now-e.startedAt+seniorityMs {
+	if !t.inherited.expects(now, e.startedAt) || ageMs < now-e.startedAt+SeniorityMs {
 		return
 	}
 	e.refill(now, t)
--- a/dataplane/quota/pacing.go
+++ b/dataplane/quota/pacing.go
@@ -24,9 +24,11 @@
 const (
 	// pacingEndLevel is the part of the burst from which on a bucket counts as filled again.
 	pacingEndLevel = 0.25
-	// pacingDebt is the part of the burst below zero from which on pacing lasts for a window of the rule. Larger: a
-	// tenant's usage moves sooner. Smaller: the quota holds with gossip that is later.
-	pacingDebt = 0.5
+	// pacingDebt is the part of the burst below zero from which on, and from pacingDebtUnits beyond it, pacing lasts
+	// for a window of the rule. Larger: a tenant's usage moves sooner. Smaller: the quota holds with gossip that is
+	// later.
+	pacingDebt      = 0.5
+	pacingDebtUnits = slackUnits / 2 // what the rule allows whatever the plan, with room for as much again
 	// pacingGain is how much faster than its part of the refill a limiter may admit with a full
 	// bucket. Larger: usage moves to other limiters sooner. Smaller: less is admitted before others
 	// are received from. Its product with rate/burst and the age of usage reports in seconds must stay
@@ -75,6 +77,11 @@
 	p.updatedAt, p.exhaustedAt = now, now
 }
 
+// noteBalance notes the balance after units of others were drawn.
+func (p *pacing) noteBalance(balance, burst float64) {
+	p.inDebt = p.inDebt || balance < -pacingDebt*burst-pacingDebtUnits
+}
+
 // start starts pacing, unless it is active.
 func (p *pacing) start(now float64) {
 	if !p.active {
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -196,12 +196,13 @@
 	e.refill(now, t)
 	before := t.balance
 	t.balance = bucket.Draw(t.balance, float64(units), e.floor(t.plan))
-	e.counters.Drawn += before - t.balance
-	e.counters.Forgiven += float64(units) - (before - t.balance)
+	drawn := before - t.balance
+	e.counters.Drawn += drawn
+	e.counters.Forgiven += float64(units) - drawn
 	t.inherited.noteDrawn(units)
 	t.pacing.noteDrawn(now, units)
 	t.surge.noteDrawn(now, float64(units))
-	t.pacing.inDebt = t.pacing.inDebt || t.balance < -pacingDebt*t.plan.Burst-slackUnits/2
+	t.pacing.noteBalance(t.balance, t.plan.Burst)
 }
 
 // Balance returns the balance of a tenant's bucket, for status reports. It is 0 for an
--- a/lab/checker/quota.go
+++ b/lab/checker/quota.go
@@ -1,6 +1,7 @@
 package checker
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"slices"
@@ -155,7 +156,7 @@
 		byTenant[attempt.Tenant] = append(byTenant[attempt.Tenant], tenantRun{runs[0].at, attempt.at, attempt.Machine})
 	}
 	for tenant, runs := range byTenant {
-		slices.SortFunc(runs, func(a, b tenantRun) int { return int(a.at - b.at) })
+		slices.SortFunc(runs, func(a, b tenantRun) int { return cmp.Compare(a.at, b.at) })
 		l.checkQuota(tenant, runs)
 	}
 	slices.SortFunc(l.quotaUse, func(a, b QuotaUse) int { return strings.Compare(a.Tenant, b.Tenant) })
