--- a/review/harness/backend.go
+++ b/review/harness/backend.go
@@ -12,6 +12,7 @@
 
 const (
 	slotsPerServer = 3
+	serversEach    = 6 // of each service
 	workTime       = 60 * time.Millisecond
 )
 
@@ -28,10 +29,10 @@
 func sealOf(server, request string) string { return server + "." + request }
 
 // addServers starts servers of a service, in turn in the machines' zones.
-func (w *world) addServers(service string, count int,
+func (w *world) addServers(service string,
 	handle func(*backend, net.Conn, *http.Request, []byte) bool,
 ) error {
-	for i := range count {
+	for i := range serversEach {
 		l, err := net.Listen("tcp", "127.201.0.1:0")
 		if err != nil {
 			return err
--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -24,7 +24,9 @@
 
 // cases are the scripts by the name that run.sh passes.
 var cases = map[string]func(context.Context, *world) error{
-	"unframed": playUnframed,
+	"unframed":    playUnframed,
+	"last-tenant": playLastTenant,
+	"retries":     playRetries,
 }
 
 // errBroken is returned by a case whose rule was broken.
--- a/review/harness/unframed.go
+++ b/review/harness/unframed.go
@@ -33,7 +33,7 @@
 // The client has sent two repeatable requests on its connection before the first was answered. It must get both
 // answers, each whole and as its own. Without trouble the page's length is stated.
 func playUnframed(ctx context.Context, w *world) error {
-	if err := w.addServers(lookups, 6, w.serveLookup); err != nil {
+	if err := w.addServers(lookups, w.serveLookup); err != nil {
 		return err
 	}
 	err := w.operator.bring(ctx, &config{
