--- a/review/harness/retries.go
+++ b/review/harness/retries.go
@@ -17,37 +17,42 @@
 	enrollments = "enrollment-desk"
 	enrollPath  = "/xapu221/ny95/"
 	enrollWork  = 500 * time.Millisecond
+	addedPath   = "/fiti832/ti23/"
 	enrollBytes = 300
 	lookupAfter = 150 * time.Millisecond // the enrolment was sent
 	settleTime  = 800 * time.Millisecond // from the acknowledgement to the first request; config_apply_ms is 3,000
 )
 
-// playRetries: a valid configuration gives a route of look-ups the highest retry_count that the field can hold. The
+// playRetries: a valid configuration adds a route of look-ups with the highest retry_count that the field can hold. The
 // enrolments that servers are working on must be answered all the same, and no process may end by itself. Without
-// trouble the retry_count is 3.
+// trouble the added route has a retry_count of 3.
 func playRetries(ctx context.Context, w *world) error {
 	err := errors.Join(w.addServers(lookups, answerLookup), w.addServers(enrollments, answerEnrolment))
 	if err != nil {
 		return err
 	}
-	if err := w.operator.bring(ctx, retriesConfig(3, 2)); err != nil {
+	if err := w.operator.bring(ctx, retriesConfig(3)); err != nil {
 		return err
 	}
 	if err := w.waitReady(ctx); err != nil {
 		return err
 	}
-	if !w.enrolEverywhere(0) {
+	if !w.enrolEverywhere(0, presentPath) {
 		return errors.New("enrolments are not answered before the change")
 	}
 	retries := int64(3)
 	if w.trouble {
 		retries = math.MaxInt64
 	}
-	if err := w.operator.bring(ctx, retriesConfig(5, retries)); err != nil {
+	next := retriesConfig(5)
+	added := next.Routes[0]
+	added.Name, added.Prefix, added.Retries = "r-added", addedPath, retries
+	next.Routes = append(next.Routes, added)
+	if err := w.operator.bring(ctx, next); err != nil {
 		return err
 	}
 	time.Sleep(settleTime)
-	answered := w.enrolEverywhere(1)
+	answered := w.enrolEverywhere(1, addedPath)
 	time.Sleep(settleTime)
 	w.log.printf("%d processes have ended by themselves", w.ownEnds())
 	if !answered || w.ownEnds() > 0 {
@@ -56,12 +61,12 @@
 	return nil
 }
 
-func retriesConfig(revision uint64, retries int64) *config {
+func retriesConfig(revision uint64) *config {
 	return &config{
 		Revision: revision,
 		Routes: []route{
 			{Name: "r-lookup", Host: hostName, Prefix: lookupPath, Type: "idempotent", TimeoutMs: 1000, TargetMs: 250,
-				Priority: 2, Upstream: lookups, Retries: retries},
+				Priority: 2, Upstream: lookups, Retries: 2},
 			{Name: "r-enroll", Host: hostName, Prefix: enrollPath, Type: "non_idempotent", TimeoutMs: 1200,
 				TargetMs: 300, Priority: 1, Upstream: enrollments, Retries: 2},
 		},
@@ -84,14 +89,14 @@
 
 // enrolEverywhere sends one enrolment to each machine, and a look-up while it is worked on. It reports whether all
 // enrolments were answered.
-func (w *world) enrolEverywhere(round int) bool {
+func (w *world) enrolEverywhere(round int, path string) bool {
 	var all sync.WaitGroup
 	answered := make([]bool, len(w.machines))
 	for i, m := range w.machines {
 		all.Go(func() { answered[i] = w.request(m, http.MethodPost, enrollPath, fmt.Sprintf("e%d%014x", round, i)) })
 		all.Go(func() {
 			time.Sleep(lookupAfter)
-			w.request(m, http.MethodGet, presentPath, fmt.Sprintf("f%d%014x", round, i))
+			w.request(m, http.MethodGet, path, fmt.Sprintf("f%d%014x", round, i))
 		})
 	}
 	all.Wait()
