--- a/review/harness/main.go
+++ b/review/harness/main.go
@@ -26,6 +26,7 @@
 var cases = map[string]func(context.Context, *world) error{
 	"unframed":    playUnframed,
 	"last-tenant": playLastTenant,
+	"readded":     playReadded,
 	"retries":     playRetries,
 }
 
