--- a/review/build.sh
+++ b/review/build.sh
@@ -3,4 +3,4 @@
 set -eu
 cd "$(dirname "$0")/.."
 mkdir -p target
-CGO_ENABLED=1 go build -ldflags='-linkmode=external' -o target/review-harness ./review/harness
+CGO_ENABLED=1 go build -ldflags='-linkmode=external' -o target/review-harness ./review/testdata/harness
--- a/review/harness/unframed.go
+++ b/review/testdata/harness/unframed.go
@@ -154,6 +154,7 @@
 	in := bufio.NewReader(conn)
 	for k := range plainLookups / lookupsAside {
 		id := fmt.Sprintf("c-%s-%02d", name, k)
+		w.log.printf("client sends %s (GET %s) to %s", id, presentPath, m.name)
 		if _, err := io.WriteString(conn, lookupText(presentPath, id)); err != nil {
 			return err
 		}
@@ -162,9 +163,11 @@
 		if err != nil {
 			return err
 		}
-		if _, err := io.Copy(io.Discard, resp.Body); err != nil {
+		got, err := io.Copy(io.Discard, resp.Body)
+		if err != nil {
 			return err
 		}
+		w.log.printf("client gets %d for %s: %d bytes", resp.StatusCode, id, got)
 	}
 	return nil
 }
