--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -230,7 +230,7 @@
 		c.markClosing()
 		return true
 	}
-	err := c.write(r.attemptContext(), resp, r.head, c.writeDeadline(r, resp))
+	err := c.writeResponse(r, resp)
 	if err == nil && !resp.closes {
 		return false
 	}
@@ -238,11 +238,25 @@
 	if err == nil {
 		c.closeAfterLast()
 	} else {
-		c.abort(resp.endsWithConnection(r.head))
+		_ = c.nc.Close()
 	}
 	return true
 }
 
+// writeResponse writes the response to a request. Where only the end of the connection delimits the body, the
+// connection ends with a reset until the body is complete, however it ends: only that shows the client the truncation.
+func (c *clientConn) writeResponse(r *request, resp *response) error {
+	untilClose := resp.endsWithConnection(r.head)
+	if untilClose {
+		c.setLinger(lingerReset)
+	}
+	err := c.write(r.attemptContext(), resp, r.head, c.writeDeadline(r, resp))
+	if untilClose && err == nil {
+		c.setLinger(lingerNone)
+	}
+	return err
+}
+
 // markClosing records that the connection ends and no further response is written.
 func (c *clientConn) markClosing() {
 	c.mu.Lock()
@@ -277,15 +291,17 @@
 	return until
 }
 
-// abort closes the connection in the middle of a response. If the response has no stated length, only a TCP reset shows
-// the client that it is truncated.
-func (c *clientConn) abort(reset bool) {
-	if reset {
-		if t, ok := c.nc.(interface{ SetLinger(sec int) error }); ok { // [net.TCPConn], or a test connection
-			_ = t.SetLinger(0) // fails only on a closed connection
-		}
+// The linger times of a connection, in seconds; see [net.TCPConn.SetLinger].
+const (
+	lingerReset = 0  // closing the connection resets it, also when the process ends
+	lingerNone  = -1 // the operating system's default
+)
+
+// setLinger sets what closing the connection does. It fails only on a closed connection.
+func (c *clientConn) setLinger(seconds int) {
+	if t, ok := c.nc.(interface{ SetLinger(sec int) error }); ok { // [net.TCPConn], or a test connection
+		_ = t.SetLinger(seconds)
 	}
-	_ = c.nc.Close()
 }
 
 // closeAfterLast closes the write side of the connection after its final response. Closing both sides while the client
--- a/dataplane/clientconn_test.go
+++ b/dataplane/clientconn_test.go
@@ -391,3 +391,28 @@
 		closeConn(c)
 	})
 }
+
+// A gateway that ends in the middle of a body that is delimited by the end of the connection resets the connection: an
+// orderly close would make the truncated body look complete.
+func TestBodyUntilCloseIsResetWhenTheGatewayEnds(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		stalled := make(chan struct{})
+		b := newBackend(t, func(w io.Writer, _ *h1.Head, _ []byte) bool {
+			write(w, responseHead("404 x", "a1", sealField("a1")), strings.Repeat("x", 2*maxHeldResponse))
+			<-stalled
+			return false
+		})
+		g := newGateway(t, b)
+		c := dial(t, g)
+		write(c, "GET /get/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\nAuthorization: Token k\r\n\r\n")
+		if _, err := io.ReadFull(c.in, make([]byte, maxHeldResponse)); err != nil {
+			t.Fatal(err)
+		}
+		g.listener.closeAll()
+		if _, err := io.ReadAll(c.in); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("the connection ends with %v; want a reset", err)
+		}
+		close(stalled)
+	})
+}
--- a/dataplane/memorynet_test.go
+++ b/dataplane/memorynet_test.go
@@ -273,11 +273,11 @@
 	return nil
 }
 
-// SetLinger makes Close reset the connection.
-func (c *memConn) SetLinger(int) error {
+// SetLinger with 0 makes Close reset the connection, with a negative number close it in order.
+func (c *memConn) SetLinger(seconds int) error {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.resetOnClose = true
+	c.resetOnClose = seconds == 0
 	return nil
 }
 
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -44,7 +44,7 @@
 	head   *h1.Head // nil: the gateway generated the response
 	body   []byte   // the buffered part
 	rest   *h1.Body // the unread part; nil if the body was read completely
-	length int64    // of the whole body; h1.Chunked or h1.UntilClose if unknown
+	length int64    // of the whole body; h1.Chunked or h1.UntilClose if the server did not state it
 
 	releaseConn     func(whole bool) // releases the connection to the server; nil: there is none
 	closeUpstream   func()           // closes that connection, from which rest is read
@@ -69,31 +69,43 @@
 	resp.releaseConn = nil
 }
 
-// endsWithConnection reports whether the body is delimited by the end of the connection, because its length is unknown
-// and an HTTP/1.0 client does not support chunked encoding (RFC 9112, 6.1).
+// framing returns how the body is delimited for a client: by its length, in chunks, or by the end of the connection.
+// Where the end of the server's connection delimits the body, the client's connection goes on. So a body of unknown
+// length is sent in chunks, and to an HTTP/1.0 client, which does not support them, until the connection closes
+// (RFC 9112, 6.1 and 6.3).
+func (resp *response) framing(requestHead *h1.Head) int64 {
+	switch {
+	case resp.head == nil || resp.length >= 0 || requestHead == nil:
+		return resp.length
+	case requestHead.HTTP10:
+		return h1.UntilClose
+	case requestHead.Method == http.MethodHead: // no body follows: the server's framing fields are passed on
+		return resp.length
+	}
+	return h1.Chunked
+}
+
+// endsWithConnection reports whether the client takes all bytes until the end of the connection for the body.
 func (resp *response) endsWithConnection(requestHead *h1.Head) bool {
-	return requestHead != nil && requestHead.HTTP10 && resp.head != nil && resp.length == h1.Chunked
+	return requestHead != nil && requestHead.HTTP10 && resp.framing(requestHead) == h1.UntilClose
 }
 
 // writeTo writes the response. After an error the client can tell that it is truncated: the stated length is not
-// reached or the last chunk is missing. If the response has neither, the caller must reset the connection; see
-// clientConn.abort. requestHead is nil if the request head was malformed. Cancelling the context ends the wait for the
-// link.
+// reached or the last chunk is missing. If the response has neither, the connection must end with a reset; see
+// clientConn.writeResponse. requestHead is nil if the request head was malformed. Cancelling the context ends the wait
+// for the link.
 func (resp *response) writeTo(ctx context.Context, w io.Writer, requestHead *h1.Head, l *link.Pacer) error {
 	b := bufferPool.Get().(*bytes.Buffer)
 	defer bufferPool.Put(b)
 	b.Reset()
 	resp.writeStatusLine(b)
-	body, length := resp.body, resp.length
+	body, length := resp.body, resp.framing(requestHead)
 	if resp.head != nil {
 		resp.writeServerFields(b)
 	} else {
 		body = resp.writeGatewayFields(b, requestHead)
 		length = int64(len(body))
 	}
-	if resp.endsWithConnection(requestHead) {
-		length = h1.UntilClose
-	}
 	resp.writeFraming(b, length)
 	if requestHead != nil && requestHead.Method == "HEAD" {
 		l.Record(b.Len())
--- a/dataplane/scriptedserver_test.go
+++ b/dataplane/scriptedserver_test.go
@@ -162,6 +162,15 @@
 		a.send(responseHead("500 x", a.id, "Failed: 1\r\n"+lengthField(len(b))), a.bodyUnlessHead(b))
 		return true
 	}},
+	{name: "a long failure, without a length", runs: true, do: func(a *scriptedRequest) bool {
+		a.send(responseHead("500 x", a.id, "Failed: 1\r\n"), a.bodyUnlessHead(longResponseBody(a.id)))
+		return false
+	}},
+	{name: "a long failure, without a length, resets", runs: true, truncates: true, do: func(a *scriptedRequest) bool {
+		b := longResponseBody(a.id)
+		a.send(responseHead("500 x", a.id, "Failed: 1\r\n"), a.bodyUnlessHead(b[:len(b)-9]))
+		return a.reset()
+	}},
 	{name: "500", runs: true, do: func(a *scriptedRequest) bool { a.send(a.failure("500 x", "")); return true }},
 	{name: "504", runs: true, do: func(a *scriptedRequest) bool { a.send(a.failure("504 x", "")); return true }},
 	{name: "404", runs: true, do: func(a *scriptedRequest) bool { a.send(a.failure("404 x", "")); return true }},
