--- a/api/config.go
+++ b/api/config.go
@@ -23,7 +23,8 @@
 	Prefix string `cbor:"path_prefix"`
 	// Type is [Idempotent], [Download], or any other value for requests that must not be repeated.
 	Type string `cbor:"route_type"`
-	// TimeoutMs is the maximum time that a request may take, in milliseconds. Above 0.
+	// TimeoutMs is the maximum time that a request may take, in milliseconds. Above 0; more than
+	// a year counts as a year.
 	TimeoutMs float64 `cbor:"timeout_ms"`
 	// TargetMs is the latency target, in milliseconds.
 	TargetMs float64 `cbor:"target_latency_ms"`
@@ -35,7 +36,8 @@
 	// TrafficSplit distributes the requests over several services by weight.
 	TrafficSplit []WeightedUpstream `cbor:"traffic_split"`
 	// MaxAttempts is the maximum number of attempts at servers for one request from a client,
-	// including the first. 0 counts as 1.
+	// including the first. 0 counts as 1. There is no upper bound: no more servers are tried than
+	// there are.
 	MaxAttempts int `cbor:"retry_count"`
 	// Anonymous: requests need no API key.
 	Anonymous bool `cbor:"anonymous"`
@@ -62,9 +64,10 @@
 	TLS            bool   `cbor:"tls_enabled"`
 }
 
-// RequestLimits bound what a client may send. A value of 0 selects the data plane's default.
+// RequestLimits bound what a client may send. A value of 0 or less selects the data plane's
+// default.
 type RequestLimits struct {
-	MaxHeaderBytes  int64   `cbor:"max_header_bytes"`
+	MaxHeaderBytes  int64   `cbor:"max_header_bytes"` // more than 1 MiB counts as 1 MiB
 	MaxBodyBytes    int64   `cbor:"max_body_bytes"`
 	HeaderTimeoutMs float64 `cbor:"header_timeout_ms"` // for receiving a header
 	IdleTimeoutMs   float64 `cbor:"idle_timeout_ms"`   // between requests on a connection
@@ -77,7 +80,7 @@
 	// Priority takes precedence over the route's priority; 0 is the highest. The data plane does
 	// not use it.
 	Priority int `cbor:"priority"`
-	// Rate is the quota in requests per second. 0: unlimited.
+	// Rate is the quota in requests per second. 0, or more than 1e9: unlimited.
 	Rate float64 `cbor:"rate_per_s"`
 	// Burst is the maximum burst, in requests.
 	Burst float64 `cbor:"burst_size"`
--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -61,6 +61,7 @@
 	c.in.Reset(&disconnectReader{c.nc, c.disconnect})
 	pipeline := newPipeline()
 	defer c.finish(pipeline)
+	defer c.listener.forwarder.recoverPanic(nil, c.markClosing)
 	nextTurn := make(chan struct{}) // closed when the next request to be read may write its response
 	close(nextTurn)
 	for first := true; ; first = false {
@@ -217,6 +218,11 @@
 // answer forwards a request, unless it was refused already, and writes the response after all earlier ones. It reports
 // whether the connection must be closed.
 func (c *clientConn) answer(r *request, refusal *response, turn <-chan struct{}, sequence int) (closes bool) {
+	defer c.listener.forwarder.recoverPanic(r, func() {
+		c.markClosing()
+		_ = c.nc.Close() // the response may have been written in part
+		closes = true
+	})
 	resp := refusal
 	if resp == nil {
 		resp = c.listener.forwarder.forward(r)
--- a/dataplane/forwarder.go
+++ b/dataplane/forwarder.go
@@ -43,9 +43,10 @@
 
 // forward produces the response to a request: it charges the quota, picks the service and makes attempts at servers
 // until one of them, or the gateway, gives the final response.
-func (f *forwarder) forward(r *request) *response {
+func (f *forwarder) forward(r *request) (final *response) {
 	f.inFlight.Add(1)
 	defer f.inFlight.Add(-1)
+	defer f.recoverPanic(r, func() { final = internalError.response(0) })
 	if r.disconnected() { // pipelined requests may be processed after the disconnect
 		return clientDisconnected.response(0)
 	}
@@ -68,20 +69,19 @@
 func (f *forwarder) begin(r *request) (*lifecycle, *response) {
 	f.gossip.receiveIfOverdue()
 	f.guarded.mu.Lock()
+	defer f.guarded.mu.Unlock()
 	l := f.guarded.limiter
 	if r.tenant != nil {
 		if wait, ok := l.Admit(f.clock.nowMs(), r.tenant.id); !ok {
-			f.guarded.mu.Unlock()
 			return nil, overQuota.response(max(minRetryAfter, millis(wait)))
 		}
 	}
 	r.service = r.route.pickService(f.guarded.rng.Float64())
 	l.AccrueRetryBudget(r.service)
 	if r.head.Get("Attempt-Id") == "" { // the server's response could not be matched to the request
-		f.guarded.mu.Unlock()
 		return nil, refuseMalformed(400, "an Attempt-Id is needed")
 	}
-	run := &lifecycle{forwarder: f, request: r, ended: make(chan *upstreamAttempt, max(1, r.route.MaxAttempts))}
+	run := newLifecycle(f, r)
 	run.state = l.StartRequest(limiter.Request{
 		Service:     r.service,
 		Route:       r.route.Name,
@@ -94,17 +94,16 @@
 		TargetMs:    inMs(r.route.latencyTarget),
 	})
 	r.state = run.state
-	f.guarded.mu.Unlock()
 	return run, nil
 }
 
 // finish releases the slot of a download on the link after its response was written, or writing it failed.
 func (f *forwarder) finish(r *request) {
 	if r.state != nil && r.isDownload() {
-		f.guarded.mu.Lock()
-		r.state.Finish()
-		f.startDownloads()
-		f.guarded.mu.Unlock()
+		f.guarded.locked(func(*limiter.Limiter) {
+			r.state.Finish()
+			f.startDownloads()
+		})
 	}
 }
 
--- a/dataplane/guardedlimiter.go
+++ b/dataplane/guardedlimiter.go
@@ -17,3 +17,11 @@
 	limiter *limiter.Limiter // guarded by mu
 	rng     *rand.Rand       // guarded by mu; selects the service of a route with a traffic split
 }
+
+// locked calls do with the limiter under the mutex. It releases the mutex also if do panics: the panic then ends one
+// request (see recoverPanic) and does not block all others.
+func (g *guardedLimiter) locked(do func(l *limiter.Limiter)) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	do(g.limiter)
+}
--- a/dataplane/lifecycle.go
+++ b/dataplane/lifecycle.go
@@ -25,6 +25,15 @@
 	granted chan struct{} // closed when a waiting download gets its slot; nil: not waiting
 }
 
+// endedCapacity is how many ended attempts may wait to be received: one, as at most one attempt runs on the goroutine
+// that receives them. It must not depend on the configuration (docs/incidents/0027).
+const endedCapacity = 1
+
+// newLifecycle returns the lifecycle of a request. Its state is still to be set.
+func newLifecycle(f *forwarder, r *request) *lifecycle {
+	return &lifecycle{forwarder: f, request: r, ended: make(chan *upstreamAttempt, endedCapacity)}
+}
+
 // upstreamAttempt is an attempt at one server.
 type upstreamAttempt struct {
 	member         *balance.Member
@@ -45,14 +54,7 @@
 		return nil
 	}
 	f := l.forwarder
-	f.guarded.mu.Lock()
-	granted, wait, refused := l.state.AcquireSlot(f.clock.nowMs())
-	if !granted && !refused {
-		l.granted = make(chan struct{})
-		f.waiting[l.state] = l.granted
-		f.startDownloads()
-	}
-	f.guarded.mu.Unlock()
+	granted, wait, refused := l.acquireSlot()
 	switch {
 	case refused:
 		return linkSaturated.response(max(minRetryAfter, min(maxRetryAfter, millis(wait))))
@@ -68,12 +70,25 @@
 	case <-l.request.ctx.Done():
 		refusal = clientDisconnected.response(0)
 	}
-	f.guarded.mu.Lock()
-	delete(f.waiting, l.state)
-	f.guarded.mu.Unlock()
+	f.guarded.locked(func(*limiter.Limiter) { delete(f.waiting, l.state) })
 	return refusal
 }
 
+// acquireSlot asks for a download's slot on the link. If it is neither granted nor refused, it will be granted by
+// closing l.granted.
+func (l *lifecycle) acquireSlot() (granted bool, wait float64, refused bool) {
+	f := l.forwarder
+	f.guarded.mu.Lock()
+	defer f.guarded.mu.Unlock()
+	granted, wait, refused = l.state.AcquireSlot(f.clock.nowMs())
+	if !granted && !refused {
+		l.granted = make(chan struct{})
+		f.waiting[l.state] = l.granted
+		f.startDownloads()
+	}
+	return granted, wait, refused
+}
+
 // startAttempt sends the request to another server, if one is available. A non-nil response is final. Nothing is sent
 // for a disconnected client.
 func (l *lifecycle) startAttempt(hedge bool) (started bool, refusal *response) {
@@ -99,10 +114,10 @@
 func (l *lifecycle) chooseServer(hedge bool) (*upstreamAttempt, *response) {
 	f := l.forwarder
 	f.guarded.mu.Lock()
+	defer f.guarded.mu.Unlock()
 	now := f.clock.nowMs()
 	member, wait, refused := l.state.StartAttempt(now, hedge)
 	if member == nil {
-		f.guarded.mu.Unlock()
 		if refused {
 			return nil, serversBusy.response(max(minRetryAfter, min(maxRetryAfter, millis(wait))))
 		}
@@ -114,15 +129,17 @@
 	if wait, counts := l.state.OverdueAfterMs(now, member); counts {
 		a.overdueAfter = millis(wait)
 	}
-	f.guarded.mu.Unlock()
 	return a, nil
 }
 
-// runAttempt makes an attempt and reports its end to the limiter, then to the lifecycle.
+// runAttempt makes an attempt and reports its end to the limiter, then to the lifecycle. A panic ends the attempt like
+// a response that can't be used: the server may have executed the request.
 func (l *lifecycle) runAttempt(a *upstreamAttempt) {
 	f := l.forwarder
+	defer func() { l.ended <- a }()
 	defer a.cancel() // the response no longer depends on the context of the attempt
 	a.attemptOutcome = attemptOutcome{result: balance.NotSent}
+	defer f.recoverPanic(l.request, func() { a.attemptOutcome = panicOutcome() })
 	if a.overdueAfter > 0 {
 		overdueTimer := time.AfterFunc(a.overdueAfter, func() {
 			f.guarded.mu.Lock()
@@ -132,15 +149,20 @@
 		defer overdueTimer.Stop()
 	}
 	if a.host != nil {
-		a.attemptOutcome = f.attempt(l.request, a, a.host)
+		l.attempt(a)
 	}
 	elapsedMs := inMs(time.Since(a.sentAt))
-	f.guarded.mu.Lock()
-	f.guarded.limiter.FinishAttempt(f.clock.nowMs(), a.member, a.result, elapsedMs)
-	f.guarded.mu.Unlock()
+	f.guarded.locked(func(lim *limiter.Limiter) {
+		lim.FinishAttempt(f.clock.nowMs(), a.member, a.result, elapsedMs)
+	})
 	observeAttempt(f.metrics, l.request.service, a)
 	l.logAttempt(a, elapsedMs)
-	l.ended <- a
+}
+
+// attempt makes an attempt and sets its outcome.
+func (l *lifecycle) attempt(a *upstreamAttempt) {
+	defer l.forwarder.recoverPanic(l.request, func() { a.attemptOutcome = panicOutcome() })
+	a.attemptOutcome = l.forwarder.attempt(l.request, a, a.host)
 }
 
 // logAttempt logs an attempt for `elmspan explain`, which parses the message and its keys.
@@ -160,9 +182,9 @@
 	if !started || !l.state.AllowsHedge() {
 		return nil
 	}
-	l.forwarder.guarded.mu.Lock()
-	wait, allowed := l.state.HedgeDelayMs()
-	l.forwarder.guarded.mu.Unlock()
+	var wait float64
+	var allowed bool
+	l.forwarder.guarded.locked(func(*limiter.Limiter) { wait, allowed = l.state.HedgeDelayMs() })
 	if !allowed {
 		return nil
 	}
@@ -244,10 +266,10 @@
 	if l.request.head.Method == "HEAD" { // no body follows
 		length = 0
 	}
-	f.guarded.mu.Lock()
-	l.state.ResponseStarted(f.clock.nowMs(), length)
-	f.startDownloads()
-	f.guarded.mu.Unlock()
+	f.guarded.locked(func(*limiter.Limiter) {
+		l.state.ResponseStarted(f.clock.nowMs(), length)
+		f.startDownloads()
+	})
 }
 
 // remove removes an ended attempt from the running ones.
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -37,6 +37,24 @@
 	Burst float64 // capacity of the bucket in units
 }
 
+// Bounds of a plan. Beyond them the arithmetic of buckets would overflow or lose single units.
+const (
+	maxRate  = 1e9  // units per second; a higher rate limits nothing
+	maxBurst = 1e12 // units
+)
+
+// NewPlan returns the plan for the rate and burst that an operator has set, which may be any
+// numbers. A rate that is not above 0, or above any possible traffic, is unlimited.
+func NewPlan(rate, burst float64) Plan {
+	if !(rate > 0 && rate <= maxRate) { // also NaN
+		return Plan{}
+	}
+	if !(burst > 0) {
+		burst = 0
+	}
+	return Plan{Rate: rate, Burst: min(burst, maxBurst)}
+}
+
 // Enforcer holds the buckets of one limiter and what it knows of the usage at its peers. It is not
 // safe for concurrent use: the host must hold a lock.
 type Enforcer struct {
--- a/dataplane/refusal.go
+++ b/dataplane/refusal.go
@@ -28,6 +28,7 @@
 	deadlineExceeded   = refusalReason{504, "time_up", "the time is up"}
 	noUsableResponse   = refusalReason{502, "no_answer", "no server gave an answer of use"}
 	serverFailed       = refusalReason{502, "server_failed", "the server failed"}
+	internalError      = refusalReason{500, "internal_error", "the gateway failed"}
 	noRoute            = refusalReason{404, "no_route", "no route"}
 	unknownKey         = refusalReason{401, "unknown_key", "unknown key"}
 
--- a/dataplane/roundtrip.go
+++ b/dataplane/roundtrip.go
@@ -12,6 +12,7 @@
 	"example.org/elmspan/dataplane/attempt"
 	"example.org/elmspan/dataplane/balance"
 	"example.org/elmspan/dataplane/h1"
+	"example.org/elmspan/dataplane/limiter"
 	"example.org/elmspan/internal/connpool"
 )
 
@@ -262,9 +263,7 @@
 // peers by gossip.
 func (f *forwarder) recordStaleConn(server string, idleGroup int) {
 	f.pool.RecordStale(idleGroup, connpool.Self)
-	f.guarded.mu.Lock()
-	f.guarded.limiter.ReportStaleConnection(f.clock.nowMs(), idleGroup)
-	f.guarded.mu.Unlock()
+	f.guarded.locked(func(l *limiter.Limiter) { l.ReportStaleConnection(f.clock.nowMs(), idleGroup) })
 	f.log.Debug("kept-alive connection was dropped by the server", "server", server, "age_group", idleGroup)
 	f.metrics.Count("elmspan_forgotten_connections_total", 1)
 }
--- a/dataplane/router.go
+++ b/dataplane/router.go
@@ -5,6 +5,7 @@
 	"sync/atomic"
 	"time"
 
+	"example.org/elmspan/dataplane/limiter"
 	"example.org/elmspan/versioned"
 )
 
@@ -36,9 +37,7 @@
 	if err != nil {
 		return err
 	}
-	r.guarded.mu.Lock()
-	r.guarded.limiter.ChangePlans(r.guarded.clock.nowMs(), plans.put, plans.drop)
-	r.guarded.mu.Unlock()
+	r.guarded.locked(func(l *limiter.Limiter) { l.ChangePlans(r.guarded.clock.nowMs(), plans.put, plans.drop) })
 	r.snapshot.Store(next)
 	r.log.Info("configuration applied", "revision", next.revision, "from", delta.From, "rows", delta.RowCount,
 		"total_rows", next.checksums.Len(), "tenants", next.tenants.Len(), "took_ms", time.Since(start).Milliseconds())
--- a/dataplane/snapshot.go
+++ b/dataplane/snapshot.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"crypto/sha256"
+	"slices"
 	"strings"
 	"time"
 
@@ -18,6 +19,45 @@
 	defaultIdleTimeout = 15 * time.Second
 )
 
+// Bounds of what an operator can set: the configuration itself bounds no number.
+const (
+	// maxMaxHead is the highest limit on a request head, in bytes. A head is read into memory.
+	maxMaxHead = 1 << 20
+	// maxConfigDuration is the longest duration, longer than any connection lasts.
+	maxConfigDuration = 365 * 24 * time.Hour
+)
+
+// configDuration returns a duration of the configuration, given in milliseconds: 0 for numbers that are not above 0, at
+// most maxConfigDuration.
+func configDuration(ms float64) time.Duration {
+	return min(max(0, millis(ms)), maxConfigDuration)
+}
+
+// maxWeight is the largest weight that is used as it is: any number of these has a finite sum.
+const maxWeight = 1e300
+
+// boundedWeights returns a traffic split whose weights have a finite sum, in the same proportions. Beside an infinite
+// weight, finite ones are 0.
+func boundedWeights(split []api.WeightedUpstream) []api.WeightedUpstream {
+	largest := 0.0
+	for _, s := range split {
+		largest = max(largest, s.Weight)
+	}
+	if largest <= maxWeight {
+		return split
+	}
+	bounded := slices.Clone(split)
+	for i := range bounded {
+		w := &bounded[i].Weight
+		if *w == largest { // also if both are infinite
+			*w = 1
+		} else {
+			*w /= largest
+		}
+	}
+	return bounded
+}
+
 // keyHash is the hash of a tenant's API key. The key itself is not stored.
 type keyHash = [sha256.Size]byte
 
@@ -60,19 +100,21 @@
 }
 
 func newRoute(r *api.Route) *route {
-	x := &route{Route: *r, timeout: millis(r.TimeoutMs), latencyTarget: millis(r.TargetMs)}
-	for _, s := range r.TrafficSplit {
+	x := &route{Route: *r, timeout: configDuration(r.TimeoutMs), latencyTarget: configDuration(r.TargetMs)}
+	x.TrafficSplit = boundedWeights(r.TrafficSplit)
+	for _, s := range x.TrafficSplit {
 		x.totalWeight += s.Weight
 	}
 	return x
 }
 
-// setLimits sets the request limits, with defaults for those that are 0. Called before the snapshot is shared.
+// setLimits sets the request limits, with defaults for those that are not above 0. Called before the snapshot is
+// shared.
 func (s *snapshot) setLimits(l *api.RequestLimits) {
-	s.maxHead = cmp.Or(int(l.MaxHeaderBytes), defaultMaxHead)
-	s.maxBody = cmp.Or(l.MaxBodyBytes, defaultMaxBody)
-	s.headTimeout = cmp.Or(millis(l.HeaderTimeoutMs), defaultHeadTimeout)
-	s.idleTimeout = cmp.Or(millis(l.IdleTimeoutMs), defaultIdleTimeout)
+	s.maxHead = int(min(cmp.Or(max(0, l.MaxHeaderBytes), defaultMaxHead), maxMaxHead))
+	s.maxBody = cmp.Or(max(0, l.MaxBodyBytes), defaultMaxBody)
+	s.headTimeout = cmp.Or(configDuration(l.HeaderTimeoutMs), defaultHeadTimeout)
+	s.idleTimeout = cmp.Or(configDuration(l.IdleTimeoutMs), defaultIdleTimeout)
 }
 
 // keysRequired reports whether requests need an API key, which is so if there are tenants.
--- a/dataplane/snapshotedit.go
+++ b/dataplane/snapshotedit.go
@@ -201,5 +201,5 @@
 		e.keys.Put(hash, x)
 	}
 	e.tenants.Put(t.Name, x)
-	e.plans.put[id] = quota.Plan{Rate: t.Rate, Burst: t.Burst}
+	e.plans.put[id] = quota.NewPlan(t.Rate, t.Burst)
 }
