--- a/api/config.go
+++ b/api/config.go
@@ -10,9 +10,15 @@
 	Routes    []Route       `cbor:"route_table"`
 	Upstreams []Upstream    `cbor:"upstream_table"`
 	Limits    RequestLimits `cbor:"request_limits"`
-	Tenants   []Tenant      `cbor:"tenant_table"` // empty: requests need no API key
+	// Tenants are the customers. Where the table is given, each request needs the API key of a
+	// tenant, except on anonymous routes; if it is empty, no key is valid. nil: the table is left
+	// out or null, and requests need no API key.
+	Tenants []Tenant `cbor:"tenant_table"`
 }
 
+// RequiresKeys reports whether requests need an API key.
+func (c *Config) RequiresKeys() bool { return c.Tenants != nil }
+
 // Route forwards requests for a host and a path prefix to a service.
 type Route struct {
 	Name string `cbor:"name"`
--- a/api/configrows.go
+++ b/api/configrows.go
@@ -67,7 +67,7 @@
 // changed contains the entries that [buildRows] selects for validation. It returns false if the
 // configuration is invalid or if these entries alone can't decide it.
 func (c *ConfigRows) validAfter(previous *ConfigRows, changed *Config) bool {
-	if len(c.Rows) != len(c.routes)+len(c.upstreams)+len(c.tenants)+c.limitsRows() {
+	if len(c.Rows) != len(c.routes)+len(c.upstreams)+len(c.tenants)+c.rowsWithoutEntry() {
 		return false // two entries have the same key
 	}
 	for _, u := range previous.upstreams {
@@ -78,11 +78,14 @@
 	return changed.Validate() == nil
 }
 
-func (c *ConfigRows) limitsRows() int {
-	if _, ok := c.Rows[limitsRow]; ok {
-		return 1
+// rowsWithoutEntry returns the number of rows that belong to no entry of a table.
+func (c *ConfigRows) rowsWithoutEntry() (count int) {
+	for _, key := range []string{limitsRow, noTenantsRow} {
+		if _, ok := c.Rows[key]; ok {
+			count++
+		}
 	}
-	return 0
+	return count
 }
 
 // buildRows returns the rows and, if validate is set, a configuration with the entries that
@@ -124,6 +127,9 @@
 	if len(entries.Limits) > 0 {
 		rows.Rows[limitsRow] = entries.Limits
 	}
+	if entries.Tenants != nil && len(entries.Tenants) == 0 {
+		rows.Rows[noTenantsRow] = namelessTenant
+	}
 	if !validate {
 		return rows, nil, nil
 	}
--- a/api/configrows_test.go
+++ b/api/configrows_test.go
@@ -34,10 +34,18 @@
 		rng.Shuffle(len(c.Tenants), func(i, j int) { c.Tenants[i], c.Tenants[j] = c.Tenants[j], c.Tenants[i] })
 	},
 	func(c *Config, _ *rand.Rand) { c.Revision = 0 },
+	func(c *Config, rng *rand.Rand) { c.Tenants = [][]Tenant{nil, {}, {{Name: "t0"}}}[rng.IntN(3)] },
 }
 
-func pickRoute(c *Config, rng *rand.Rand) *Route   { return &c.Routes[rng.IntN(len(c.Routes))] }
-func pickTenant(c *Config, rng *rand.Rand) *Tenant { return &c.Tenants[rng.IntN(len(c.Tenants))] }
+func pickRoute(c *Config, rng *rand.Rand) *Route { return &c.Routes[rng.IntN(len(c.Routes))] }
+
+// pickTenant returns one of the tenants, or one that is in no table if there are none.
+func pickTenant(c *Config, rng *rand.Rand) *Tenant {
+	if len(c.Tenants) == 0 {
+		return &Tenant{}
+	}
+	return &c.Tenants[rng.IntN(len(c.Tenants))]
+}
 
 // Incremental validation against a previous valid configuration gives the same errors and the
 // same rows as full validation, for any difference between the two.
@@ -160,5 +168,8 @@
 	if len(c.Limits) > 0 {
 		rows[limitsRow] = c.Limits
 	}
+	if c.Tenants != nil && len(c.Tenants) == 0 {
+		rows[noTenantsRow] = namelessTenant
+	}
 	return c.Revision, rows, nil
 }
--- a/api/rows.go
+++ b/api/rows.go
@@ -15,6 +15,16 @@
 	limitsRow   = "l" // the complete key
 )
 
+// noTenantsRow is the complete key of the row that stands for a tenant table without entries:
+// without any tenant row, a limiter could not tell it from a table that was left out, and would
+// serve requests without a key (docs/incidents/0028). It is the row of a tenant that no
+// configuration can have, with an empty name and no key, so that limiters of earlier versions
+// require keys too.
+const noTenantsRow = string(tenantRow)
+
+// namelessTenant is the value of the row noTenantsRow: the CBOR of {"name": ""}.
+var namelessTenant = []byte{0xa1, 0x64, 'n', 'a', 'm', 'e', 0x60}
+
 // RouteKey returns the key of a route's row. Hosts that differ only in case have the same key.
 func RouteKey(host, prefix string) string {
 	return string(routeRow) + strings.ToLower(host) + " " + prefix
--- a/cmd/elmspan/config.go
+++ b/cmd/elmspan/config.go
@@ -208,6 +208,9 @@
 	printDiff("route", describeRoutes(from), describeRoutes(to))
 	printDiff("service", describeServices(from), describeServices(to))
 	printDiff("tenant", describeTenants(from), describeTenants(to))
+	if from.RequiresKeys() != to.RequiresKeys() {
+		fmt.Printf("~ tenant_table: requests need a key: %t -> %t\n", from.RequiresKeys(), to.RequiresKeys())
+	}
 	return nil
 }
 
--- a/dataplane/snapshot.go
+++ b/dataplane/snapshot.go
@@ -117,7 +117,8 @@
 	s.idleTimeout = cmp.Or(configDuration(l.IdleTimeoutMs), defaultIdleTimeout)
 }
 
-// keysRequired reports whether requests need an API key, which is so if there are tenants.
+// keysRequired reports whether requests need an API key, which is so if the configuration has a tenant table. An empty
+// table arrives as the row of one tenant without keys; see package api.
 func (s *snapshot) keysRequired() bool { return s.tenants.Len() > 0 }
 
 // route returns the route with the longest prefix that matches a host and path, nil if none matches. It makes one
