--- a/discovery/client.go
+++ b/discovery/client.go
@@ -9,6 +9,8 @@
 	"net/url"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"example.org/elmspan/api"
 	"example.org/elmspan/internal/backoff"
 )
@@ -37,8 +39,14 @@
 
 // page is one page of the platform's list.
 type page struct {
-	Members []api.Server `cbor:"members"`
-	Next    *string      `cbor:"next_token"` // nil or empty: last page
+	Members []api.Server
+	Next    *string // nil or empty: last page
+}
+
+// encodedPage is a page whose members have not been decoded.
+type encodedPage struct {
+	Members cbor.RawMessage `cbor:"members"` // empty: the field is missing
+	Next    *string         `cbor:"next_token"`
 }
 
 // httpClient keeps at most one idle connection, and closes it soon after a list has been read.
@@ -54,8 +62,8 @@
 // returns it with the number of pages. ratePerS is the platform's rate limit in calls per second;
 // 0: unlimited, without pacing. Entries without an ID, an address or a service are skipped.
 //
-// The error is [ErrRateLimited], [ErrTooLarge], [context.Canceled] if the context ended during a
-// pause, or the error of the failed call.
+// The error is [ErrRateLimited], [ErrTooLarge], [ErrNoMembers], [context.Canceled] if the context
+// ended during a pause, or the error of the failed call.
 func ListServers(ctx context.Context, addr string, ratePerS float64) (list []api.Server, pages int, err error) {
 	r := pageReader{
 		ratePerS:  ratePerS,
@@ -148,9 +156,16 @@
 	case len(body) > maxPageBytes:
 		return nil, fmt.Errorf("%w: page exceeds %d bytes", ErrTooLarge, maxPageBytes)
 	}
-	p := &page{}
-	if err := api.Unmarshal(body, p); err != nil {
+	var encoded encodedPage
+	if err := api.Unmarshal(body, &encoded); err != nil {
 		return nil, fmt.Errorf("discovery: decoding a page: %w", err)
 	}
+	if len(encoded.Members) == 0 {
+		return nil, ErrNoMembers
+	}
+	p := &page{Next: encoded.Next}
+	if err := api.Unmarshal(encoded.Members, &p.Members); err != nil {
+		return nil, fmt.Errorf("discovery: decoding the members of a page: %w", err)
+	}
 	return p, nil
 }
--- a/discovery/client_test.go
+++ b/discovery/client_test.go
@@ -3,10 +3,13 @@
 import (
 	"errors"
 	"fmt"
+	"net/http"
 	"strconv"
 	"testing"
 	"time"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"example.org/elmspan/api"
 )
 
@@ -136,3 +139,28 @@
 		t.Errorf("%d servers, %v waited, %v", len(list), p.slept, err)
 	}
 }
+
+// A page without a member list was taken for one without servers, and all servers were dropped
+// (docs/incidents/0028). Only a list that is there and empty says that there are none.
+func TestMissingMembersAreNotNoServers(t *testing.T) {
+	for name, c := range map[string]struct {
+		body    any
+		wantErr error
+		servers int
+	}{
+		"missing": {map[string]any{"next_token": nil}, ErrNoMembers, 0},
+		"other":   {map[string]any{"error": "starting"}, ErrNoMembers, 0},
+		"empty":   {map[string]any{"members": []any{}, "next_token": nil}, nil, 0},
+		"null":    {map[string]any{"members": nil, "next_token": nil}, nil, 0},
+		"one":     {map[string]any{"members": []api.Server{{ID: "i-1"}}}, nil, 1},
+	} {
+		body, err := cbor.Marshal(c.body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		p, err := decodePage(http.StatusOK, body)
+		if !errors.Is(err, c.wantErr) || err == nil && len(p.Members) != c.servers {
+			t.Errorf("%s: %+v, %v; want %d servers, %v", name, p, err, c.servers, c.wantErr)
+		}
+	}
+}
