Soak and emulator draw unframed failures, extreme numbers and empty tenant tables

Change: servers answer with error pages without a length, of sizes around the gateway's buffers, ended in order or reset; the operator brings valid configurations whose added routes and request limits hold the highest numbers, and takes all tenants away for a time. The checker compares the whole body with a failure's seal, notes answers without an end, and judges what runs while no tenant is left; each with a planted fault.

--- a/lab/checker/connections.go
+++ b/lab/checker/connections.go
@@ -180,7 +180,7 @@
 				id, a.Class.Name, a.aborted.Seconds(), a.Machine)
 		}
 	}
-	if isDenial(a.status) {
+	if isDenial(a.status) && !l.deniedInSuspension(a) {
 		e.Denied++
 	}
 }
--- a/lab/checker/log_test.go
+++ b/lab/checker/log_test.go
@@ -31,6 +31,20 @@
 			l.Ran("a", good, false)
 			l.Answered("a", 200, Seal("m", "a", []byte("x")), []byte("y"))
 		},
+		"MIXED failure cut": func(l *Log) {
+			l.Ran("a", good, false)
+			l.Gave("a", "m", 500)
+			l.Answered("a", 500, Seal("m", "a", []byte("page")), []byte("pa"))
+		},
+		"MIXED no end": func(l *Log) {
+			l.Ran("a", good, false)
+			l.runs["a"][0].ended = l.clock() - time.Second
+			l.Unended("a")
+		},
+		"CONFIG no tenants": func(l *Log) {
+			l.suspensions = []suspension{{sent: 1, acknowledged: l.clock() - 6*time.Second}}
+			l.Ran("a", good, false)
+		},
 		"ROUTE":   func(l *Log) { l.Ran("a", with(func(r *Run) { r.Service = "search" }), false) },
 		"UNASKED": func(l *Log) { l.Ran("b", good, false) },
 		"UNASKED tenant": func(l *Log) {
@@ -101,6 +115,35 @@
 	}
 }
 
+// While tenants are taken away for a time, requests may run until each machine must know, and again from when the
+// tenants are brought back; 401 is no denial. An answer without an end is none while its server is at it.
+func TestSuspendedKeysAndUnendedAnswersAreJudgedInTime(t *testing.T) {
+	now := time.Minute
+	l := New(scenario.RetryBudget{}, func() time.Duration { return now })
+	send := func(id string) {
+		l.Sent(id, &Attempt{Class: lookup, Tenant: "t"})
+		l.Ran(id, Run{Service: "search", Tenant: "t", Member: "m"}, false)
+	}
+	l.KeysSuspending()
+	l.KeysSuspended()
+	now += RevokeMs * time.Millisecond
+	send("early")
+	l.Unended("early")
+	for i := range 20 {
+		id := fmt.Sprint("denied", i)
+		l.Sent(id, &Attempt{Class: lookup, Tenant: "t"})
+		l.Answered(id, 401, "", nil)
+	}
+	now += time.Second
+	l.KeysRestoring()
+	l.KeysRestored()
+	send("late")
+	l.Finish()
+	if len(l.violations) > 0 || l.ends.Denied > 0 {
+		t.Errorf("%v, %d denied", l.violations, l.ends.Denied)
+	}
+}
+
 // A failure that a server gave and sealed is no broken rule, nor are two servers for a request.
 func TestSealedFailureOfTheServerIsItsOwn(t *testing.T) {
 	l := New(scenario.RetryBudget{}, func() time.Duration { return time.Minute })
--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -98,6 +98,7 @@
 	sent(id, target, key string, body []byte)
 	answered(id string, status int, seal string, got []byte)
 	left(id string)         // the client closes its connection without an answer
+	unended(id string)      // it has waited for the end of an answer that lasts until the connection ends
 	aborted(id string)      // the limiter ended the connection without one
 	arrived(id string) bool // whether a server had it
 }
@@ -177,6 +178,9 @@
 	gaveUp := errors.Is(err, os.ErrDeadlineExceeded)
 	if r.events != nil && gaveUp {
 		r.events.left(id)
+		if errors.Is(err, errNoEnd) {
+			r.events.unended(id)
+		}
 	}
 	_ = conn.Close() // nothing more is read from it
 	if r.events == nil || gaveUp {
@@ -225,9 +229,15 @@
 		return nil, nil, err
 	}
 	answer, err := io.ReadAll(h1.NewBody(conn.in, framing))
+	if err != nil && framing == h1.UntilClose {
+		err = fmt.Errorf("%w: %w", errNoEnd, err)
+	}
 	return head, answer, err
 }
 
+// errNoEnd: an answer that lasts until the connection ends was not complete.
+var errNoEnd = errors.New("emulator: the answer has not ended")
+
 // bodyOf is a request's body: its id, over and over.
 func bodyOf(id string, length int) []byte {
 	body := make([]byte, length)
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -121,6 +121,10 @@
 	scenario.RevokeKey: func(day *scenario.Day, _ *scenario.Fault) fault {
 		return revokeKey{day.Tenants[len(day.Tenants)-1].Name}
 	},
+	scenario.ExtremeConfig: func(*scenario.Day, *scenario.Fault) fault { return extremeConfig{} },
+	scenario.EmptyTenants: func(_ *scenario.Day, s *scenario.Fault) fault {
+		return emptyTenants{duration(s)}
+	},
 	scenario.LoseLeaderInDrain: func(_ *scenario.Day, s *scenario.Fault) fault { return loseLeaderInDrain{count(s)} },
 	scenario.RaceChanges:       func(_ *scenario.Day, s *scenario.Fault) fault { return raceChanges{duration(s)} },
 }
@@ -388,6 +392,18 @@
 // Inject implements fault.
 func (r revokeKey) Inject(ctx context.Context, f *Fleet) { f.operator.revoke(ctx, r.tenant) }
 
+// extremeConfig brings a valid configuration with the highest numbers.
+type extremeConfig struct{}
+
+// Inject implements fault.
+func (extremeConfig) Inject(ctx context.Context, f *Fleet) { f.operator.bringExtremes(ctx) }
+
+// emptyTenants takes all tenants away for a time.
+type emptyTenants struct{ duration time.Duration }
+
+// Inject implements fault.
+func (e emptyTenants) Inject(ctx context.Context, f *Fleet) { f.operator.emptyTenants(ctx, e.duration) }
+
 // loseLeaderInDrain has servers drain and, as soon as the list shows it, the leader die;
 // it is started again at once. Nobody may send to them once that was acknowledged.
 type loseLeaderInDrain struct{ count int }
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -147,7 +147,10 @@
 		giveUpAfter: a.giveUpAfter,
 		addedRoute:  added,
 		keeps:       true,
-		events:      &loggedAttempts{l.fleet.log, class, a.tenant.Name, added},
+		events: &loggedAttempts{
+			log: l.fleet.log, class: class, tenant: a.tenant.Name,
+			added: added, anyRetries: added && l.fleet.operator.hasExtremes(),
+		},
 	})
 	if !gaveUp { // what a client gives up early is not owed
 		l.counter.Add(class, l.fleet.since(begun), status, attempts, time.Since(begun))
@@ -160,6 +163,8 @@
 	class  *scenario.Class
 	tenant string
 	added  bool // on a route that was added during the day
+	// anyRetries: the retry_count of that route may be too high to bound anything
+	anyRetries bool
 }
 
 func (e *loggedAttempts) sent(id, target, key string, body []byte) {
@@ -170,6 +175,7 @@
 		Body:         crc32.ChecksumIEEE(body),
 		Machine:      target,
 		OnAddedRoute: e.added,
+		AnyRetries:   e.anyRetries,
 	})
 }
 
@@ -178,5 +184,6 @@
 }
 
 func (e *loggedAttempts) left(id string)         { e.log.Left(id) }
+func (e *loggedAttempts) unended(id string)      { e.log.Unended(id) }
 func (e *loggedAttempts) aborted(id string)      { e.log.Aborted(id) }
 func (e *loggedAttempts) arrived(id string) bool { return e.log.HasArrived(id) }
--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -47,6 +47,8 @@
 	quotas      map[string]float64  // factors on the tenants' first limits; none: 1
 	addsRoutes  bool                // each class has a second route from now on
 	routesAdded time.Time           // when a configuration with these routes was acknowledged; zero: not yet
+	extremes    int                 // configurations with the highest numbers that were wanted so far
+	noTenants   bool                // the tenant table is empty
 	missed      int                 // changes that were never acknowledged
 	acks        []time.Duration     // how long each acknowledgement took
 }
@@ -107,6 +109,13 @@
 			c.Routes = append(c.Routes, o.route(&day.Classes[i], addedRoutePrefix))
 		}
 	}
+	if o.extremes > 0 {
+		makeExtreme(c, o.extremes)
+	}
+	if o.noTenants {
+		c.Tenants = []api.Tenant{} // given, and empty
+		return c
+	}
 	for _, t := range day.Tenants {
 		rate := day.Rate(&t)
 		if factor, changed := o.quotas[t.Name]; changed {
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -60,6 +60,10 @@
 	ChangeConfig   FaultKind = "config"     // another configuration is brought
 	InvalidConfig  FaultKind = "bad_config" // configurations are brought that must be rejected
 	RevokeKey      FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
+	// ExtremeConfig: a valid configuration is brought whose added routes and request limits hold the highest numbers.
+	ExtremeConfig FaultKind = "extreme_config"
+	// EmptyTenants: all tenants are taken away, and brought back after ForS. No request may pass meanwhile.
+	EmptyTenants FaultKind = "no_tenants"
 	// LoseLeaderInDrain: servers drain, and the leader is killed and is back at once.
 	LoseLeaderInDrain FaultKind = "drain_race"
 	// RaceChanges: two configurations on the same version, one at each side, while the
@@ -68,7 +72,7 @@
 )
 
 // GreyModes are the ways in which a server can fail requests while its probes succeed.
-var GreyModes = []string{GreyErrors, GreyReset, GreyShed, GreyMute, GreySlow}
+var GreyModes = []string{GreyErrors, GreyReset, GreyShed, GreyMute, GreySlow, GreyUnframed}
 
 // Ways in which a server can fail requests while its probes succeed.
 const (
@@ -77,6 +81,8 @@
 	GreyShed   = "shed"   // it rejects what it has room for
 	GreyMute   = "mute"   // it never answers
 	GreySlow   = "slow"   // it takes many times as long
+	// GreyUnframed: it answers with an error page without a length, after the work, and ends or resets the connection.
+	GreyUnframed = "unframed"
 )
 
 // players are the programs that play a fault.
@@ -107,6 +113,8 @@
 	ChangeConfig:      {emulator: true},
 	InvalidConfig:     {emulator: true},
 	RevokeKey:         {emulator: true},
+	ExtremeConfig:     {emulator: true},
+	EmptyTenants:      {emulator: true},
 	LoseLeaderInDrain: {emulator: true},
 	RaceChanges:       {emulator: true},
 }
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -91,6 +91,7 @@
 	}}
 	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{
 		restarts, reloads, changes, badServers, lostProcesses, herdKills, throttled, quotaChanges, hotTenants,
+		unframedFailures, extremeConfigs, emptiedTenants, // last, so that the draws of seeds before stay as they were
 	}
 	for _, part := range parts {
 		faults = append(faults, part(rng, day)...)
@@ -214,6 +215,36 @@
 	return faults
 }
 
+// unframedFailures has servers answer with long error pages without a length, on half of the days.
+func unframedFailures(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(2) == 0 {
+		return nil
+	}
+	all := day.Services[0].Servers + day.Services[1].Servers
+	return []scenario.Fault{{
+		Kind: scenario.GreyServers, Mode: scenario.GreyUnframed, AtS: begin(rng, day), Factor: 0.1 + 0.4*rng.Float64(),
+		ForS: 2 + 4*rng.Float64(), Count: 1 + rng.IntN(max(1, all/2)),
+	}}
+}
+
+// extremeConfigs has the operator bring valid configurations with the highest numbers, on a third of the days.
+func extremeConfigs(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(3) > 0 {
+		return nil
+	}
+	return series(rng, day, 1+rng.IntN(3), 2, func() scenario.Fault {
+		return scenario.Fault{Kind: scenario.ExtremeConfig}
+	})
+}
+
+// emptiedTenants has all tenants be taken away for a time, on a quarter of the days.
+func emptiedTenants(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(4) > 0 {
+		return nil
+	}
+	return []scenario.Fault{{Kind: scenario.EmptyTenants, AtS: begin(rng, day) / 2, ForS: 2 + 5*rng.Float64()}}
+}
+
 // throttled has machines spend their processor time early in each tenth of a second, on half of the days.
 func throttled(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	if rng.IntN(2) == 0 {
