--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -88,7 +88,7 @@
 			})
 			continue
 		}
-		if refusal == nil && !r.route.IsIdempotent() && !c.waitForTurn(turn) {
+		if refusal == nil && !r.route.IsIdempotent() && !c.waitForTurn(r, turn) {
 			return
 		}
 		closes := c.answerAlone(r, refusal, turn, sequence)
@@ -153,8 +153,9 @@
 // waitForTurn waits until a non-idempotent request may be processed, and reports whether it may. If an earlier response
 // closes the connection, the requests after it count as not received, and the client sends them again (RFC 9112,
 // 9.3.2).
-func (c *clientConn) waitForTurn(turn <-chan struct{}) bool {
+func (c *clientConn) waitForTurn(r *request, turn <-chan struct{}) bool {
 	c.await(turn)
+	c.setReadDeadline(r.deadline) // await leaves one in the past, and the rest of a long body is still to be read
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	return !c.closing && !c.disconnected()
--- a/dataplane/isolation_test.go
+++ b/dataplane/isolation_test.go
@@ -172,6 +172,32 @@
 	})
 }
 
+// A long body that arrives behind a request which is still unanswered was ended with 400: the wait for its turn left the
+// connection with a read deadline in the past. It is read to its end, in the time of its request.
+func TestLongBodyIsReadAfterTheWaitForItsTurn(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+			if h.Target == "/once/" {
+				return respondOK(fmt.Sprint(len(body)))(w, h, body)
+			}
+			time.Sleep(100 * time.Millisecond)
+			return respondOK("first")(w, h, body)
+		})
+		c := dial(t, newGateway(t, b))
+		for _, framing := range []string{"Content-Length: 131072\r\n", "Transfer-Encoding: chunked\r\n"} {
+			long := strings.Repeat("x", 2*maxHeldBody)
+			if strings.HasPrefix(framing, "Transfer") {
+				long = fmt.Sprintf("%x\r\n%s\r\n0\r\n\r\n", len(long), long)
+			}
+			c.send("GET /get/", "", "")
+			go c.send("POST /once/", framing, long) // blocks until the gateway reads the body
+			c.expect(200, "first")
+			c.expect(200, "131072")
+		}
+	})
+}
+
 // waitForRequests waits until a gateway has read n requests from its only client connection.
 func waitForRequests(t testing.TB, g *Gateway, n int) {
 	t.Helper()
