--- a/dataplane/isolation_test.go
+++ b/dataplane/isolation_test.go
@@ -172,8 +172,8 @@
 	})
 }
 
-// A long body that arrives behind a request which is still unanswered was ended with 400: the wait for its turn left the
-// connection with a read deadline in the past. It is read to its end, in the time of its request.
+// A long body that arrives behind a request which is still unanswered was ended with 400: the wait for its turn left
+// the connection with a read deadline in the past. It is read to its end, in the time of its request.
 func TestLongBodyIsReadAfterTheWaitForItsTurn(t *testing.T) {
 	t.Parallel()
 	inFakeTime(t, func(t testing.TB) {
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -23,6 +23,9 @@
 
 const (
 	millisPerSecond = 1000
+	// forgetAfterWindows is how many windows of the quota rule the bucket of a removed tenant is kept:
+	// one for the window itself, one for limiters that learn of the change, and of usage, later.
+	forgetAfterWindows = 2
 	// defaultWindowS is the default window of the quota rule, in seconds.
 	defaultWindowS = 5.0
 )
@@ -61,8 +64,10 @@
 	self      Member
 	startedAt float64
 	windowMs  float64            // of the quota rule
-	tenants   map[uint64]*tenant // by TenantID
-	rows      rowAllocator       // of the tenants in all usage tables
+	tenants   map[uint64]*tenant // by TenantID; also those that are being forgotten
+	// forgetAt is when each tenant that was removed from the configuration is forgotten.
+	forgetAt map[uint64]float64
+	rows     rowAllocator // of the tenants in all usage tables
 	// Tenants that may have unreported usage, of this limiter and of its group. Looking for reports
 	// that are due visits only these, not all tenants.
 	unreported, groupUnreported map[uint64]*tenant
@@ -96,6 +101,7 @@
 		startedAt:       now,
 		windowMs:        defaultWindowS * millisPerSecond,
 		tenants:         map[uint64]*tenant{},
+		forgetAt:        map[uint64]float64{},
 		unreported:      map[uint64]*tenant{},
 		groupUnreported: map[uint64]*tenant{},
 		peers:           map[uint64]*peer{},
@@ -130,16 +136,18 @@
 
 // ChangePlans adds or replaces the plans in put, and removes the plans of the tenants in removed.
 // An existing bucket keeps its balance, capped at the new burst: a new configuration does not grant
-// a fresh burst.
+// a fresh burst. That holds also for a tenant that is removed and added again: its bucket is
+// forgotten only when nothing admitted before counts in a window of the quota rule any more.
 func (e *Enforcer) ChangePlans(now float64, put map[uint64]Plan, removed []uint64) {
 	for _, id := range removed {
-		if t := e.tenants[id]; t != nil {
-			e.releaseRow(t.row)
+		if _, ok := e.forgetAt[id]; !ok && e.tenants[id] != nil {
+			e.forgetAt[id] = now + forgetAfterWindows*e.windowMs
 		}
-		delete(e.tenants, id)
-		delete(e.unreported, id)
-		delete(e.groupUnreported, id)
 	}
+	for id := range put {
+		delete(e.forgetAt, id)
+	}
+	e.forgetRemoved(now)
 	for id, plan := range put {
 		t := e.tenants[id]
 		if t == nil {
@@ -154,6 +162,22 @@
 	}
 }
 
+// forgetRemoved forgets the tenants that were removed long enough ago.
+func (e *Enforcer) forgetRemoved(now float64) {
+	for id, at := range e.forgetAt {
+		if now < at {
+			continue
+		}
+		if t := e.tenants[id]; t != nil {
+			e.releaseRow(t.row)
+		}
+		delete(e.forgetAt, id)
+		delete(e.tenants, id)
+		delete(e.unreported, id)
+		delete(e.groupUnreported, id)
+	}
+}
+
 // newTenant returns a tenant whose bucket holds this limiter's share of the burst, plus what the
 // plan has refilled since this limiter's start.
 func (e *Enforcer) newTenant(now float64, id uint64, plan Plan) *tenant {
--- a/dataplane/quota/quota_test.go
+++ b/dataplane/quota/quota_test.go
@@ -143,6 +143,34 @@
 	}
 }
 
+// A tenant that was taken away and brought back got a fresh burst each time (docs/incidents/0029): in a window of the
+// quota rule it used that many bursts. Its bucket goes on, and peers draw what was admitted just before.
+func TestTenantThatIsAddedAgainGetsNoFreshBurst(t *testing.T) {
+	p := Plan{Rate: 100, Burst: 100}
+	f := newFleet(6, p)
+	at := f.run(0, 4000, 400)
+	for i := range 4 {
+		removedAt := 4000 + 1000*float64(i)
+		for _, s := range f.limiters {
+			s.ChangePlans(removedAt, nil, []uint64{tenantID})
+		}
+		for _, s := range f.limiters {
+			s.ChangePlans(removedAt+100, map[uint64]Plan{tenantID: p}, nil)
+		}
+		at = append(at, f.run(removedAt+100, removedAt+1000, 400)...)
+	}
+	if n := maxInWindow(at); n > bound(p) {
+		t.Errorf("%d requests in 5 s, want at most %d", n, bound(p))
+	}
+	for _, s := range f.limiters {
+		s.SetPlans(9000, nil)
+		s.ReportUsage(9000+forgetAfterWindows*s.windowMs, nil)
+		if len(s.tenants)+len(s.forgetAt)+len(s.unreported)+len(s.groupUnreported) != 0 {
+			t.Error("a removed tenant is never forgotten")
+		}
+	}
+}
+
 // The share of a removed member stays reserved for ShareRetentionMs.
 func TestShareOfRemovedMemberIsRetained(t *testing.T) {
 	f := newFleet(4, Plan{Rate: 10, Burst: 50})
--- a/dataplane/quota/report.go
+++ b/dataplane/quota/report.go
@@ -82,6 +82,7 @@
 // with unreported units, at shorter intervals if the tenant is urgent, and those of low buckets.
 // Each total is reported twice, in case a message is lost.
 func (e *Enforcer) ReportUsage(now float64, out []Usage) []Usage {
+	e.forgetRemoved(now)
 	for id, t := range e.unreported {
 		if !t.admitted.due() && !e.repeatsLow(now, t, &t.admitted) {
 			delete(e.unreported, id)
