--- a/dataplane/gateway.go
+++ b/dataplane/gateway.go
@@ -85,7 +85,7 @@
 	g.router = router{log: o.Log, guarded: g.guarded}
 	g.lease = lease{clock: g.clock}
 	if cfg.Timing.StrictRevocation {
-		g.lease.duration = settings.Millis(cfg.Timing.RevokeMs) - revokeMargin
+		g.lease.duration = leaseDuration(settings.Millis(cfg.Timing.RevokeMs))
 	}
 	g.peers = peerTable{self: cfg.Name, guarded: g.guarded, byID: map[uint64]peer{}}
 	g.endpoints = endpointList{log: o.Log, guarded: g.guarded, pool: pool}
--- a/dataplane/lease.go
+++ b/dataplane/lease.go
@@ -9,6 +9,12 @@
 // time.
 const revokeMargin = 500 * time.Millisecond
 
+// leaseDuration returns the duration of a lease for a revocation limit: the limit less revokeMargin, or half of it if
+// that is more. It is above 0 for any limit, as 0 would mean that no lease is needed.
+func leaseDuration(revocation time.Duration) time.Duration {
+	return max(1, revocation-revokeMargin, revocation/2)
+}
+
 // lease limits how long the gateway serves requests by a configuration that the control plane has not confirmed again.
 // So a revoked key or a changed route takes effect on all gateways within a known time. Safe for concurrent use.
 type lease struct {
--- a/dataplane/lease_test.go
+++ b/dataplane/lease_test.go
@@ -1,6 +1,11 @@
 package dataplane
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"example.org/elmspan/settings"
+)
 
 // Without a lease, the configuration may be stale: a route may have been added, changed or removed since. The gateway
 // then rejects every request with 503 and Retry-After, whether or not the request needs a key. It used to answer 404
@@ -34,3 +39,25 @@
 		})
 	}
 }
+
+// A revocation limit of 500 ms made the lease 0, which means that none is needed: keys were served for ever from an old
+// configuration (docs/incidents/0029). Whatever the limit, a lease is needed, and it ends before the limit.
+func TestLeaseIsNeededWhateverTheRevocationLimit(t *testing.T) {
+	t.Parallel()
+	for _, limit := range []time.Duration{1, time.Millisecond, 499 * time.Millisecond, revokeMargin, 5 * time.Second} {
+		d := leaseDuration(limit)
+		if d <= 0 || d > limit || limit == 5*time.Second && d != limit-revokeMargin {
+			t.Errorf("limit %v: a lease of %v", limit, d)
+		}
+	}
+	inFakeTime(t, func(t testing.TB) {
+		timing := settings.Timing{StrictRevocation: true, RevokeMs: inMs(revokeMargin), GraceS: 3}
+		g := newGatewayWithTiming(t, timing, newBackend(t, respondOK("yes")))
+		c := dial(t, g)
+		c.send("GET /get/", "", "")
+		c.expect(200, "yes")
+		time.Sleep(revokeMargin)
+		c.send("GET /get/", "", "")
+		c.expect(503, "")
+	})
+}
