--- a/api/validate.go
+++ b/api/validate.go
@@ -113,6 +113,9 @@
 			v.report(fmt.Sprintf("tenant_table.%d.name", i), "%q is empty or not the only one", t.Name)
 		}
 		names[t.Name] = true
+		if !IsFieldValue(t.Name) {
+			v.report(fmt.Sprintf("tenant_table.%d.name", i), "%q holds a control character", t.Name)
+		}
 		if !(t.Rate >= 0) || !(t.Burst >= 0) {
 			v.report(tenantField(i, t), "rate_per_s or burst_size is below 0")
 		}
@@ -120,6 +123,13 @@
 	}
 }
 
+// IsFieldValue reports whether a text can be sent as the value of a header field. A tenant's name is
+// sent to servers in Tenant-Name; a line feed in it would end the field, and for some servers the
+// head.
+func IsFieldValue(text string) bool {
+	return strings.IndexFunc(text, func(r rune) bool { return r < ' ' || r == 0x7f }) < 0
+}
+
 // keys validates the API keys of a tenant and records the tenant as their owner.
 func (v *validator) keys(i int, t *Tenant, owners map[string]string) {
 	for k, key := range t.Keys {
--- a/api/validate_test.go
+++ b/api/validate_test.go
@@ -42,6 +42,7 @@
 		"route_table.0 (r).path_prefix":  func(c *Config) { c.Routes[0].Prefix = "/x" },
 		"tenant_table.1 (u).api_keys.0":  func(c *Config) { c.Tenants[1].Keys[0] = "k2" },
 		"tenant_table.1.name":            func(c *Config) { c.Tenants[1].Name = "t" },
+		"holds a control character":      func(c *Config) { c.Tenants[0].Name = "t\n" },
 		"tenant_table.0 (t): rate_per_s": func(c *Config) { c.Tenants[0].Rate = -1 },
 	} {
 		c := validConfig()
--- a/dataplane/snapshotedit.go
+++ b/dataplane/snapshotedit.go
@@ -196,6 +196,9 @@
 	}
 	x := &tenant{name: t.Name, id: id}
 	for _, k := range t.Keys {
+		if !api.IsFieldValue(t.Name) { // accepted by an earlier version; the name can't be sent to servers
+			break
+		}
 		hash := hashKey(k)
 		x.keys = append(x.keys, hash)
 		e.keys.Put(hash, x)
--- a/dataplane/tenanttable_test.go
+++ b/dataplane/tenanttable_test.go
@@ -4,6 +4,8 @@
 	"slices"
 	"testing"
 
+	"github.com/fxamacker/cbor/v2"
+
 	"example.org/elmspan/api"
 	"example.org/elmspan/versioned"
 )
@@ -66,3 +68,33 @@
 		}
 	}
 }
+
+// A tenant's name with a line feed ended the head of its requests for servers that take a bare line feed as a line's
+// end (docs/incidents/0029). Validation rejects it; one that an earlier version has accepted opens no route.
+func TestTenantNameThatIsNoFieldValueIsNotSent(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, respondOK("yes"))
+		g := newGateway(t, b)
+		for revision, name := range []string{"t\nContent-Length: 0\n", "t\r", "t\x00", "t\x7f"} {
+			value, err := cbor.Marshal(api.Tenant{Name: name, Keys: []string{"k"}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			rows := configRows(t, testConfig(3000, api.RequestLimits{}))
+			delete(rows, "tt")
+			rows["t"+name] = value
+			table := &versioned.Table{}
+			table.Replace(uint64(revision+2), rows)
+			if err := g.ApplyConfig(openDelta(t, table, 0)); err != nil {
+				t.Fatal(err)
+			}
+			c := dial(t, g)
+			c.send("GET /get/", "", "")
+			c.expect(401, "")
+		}
+		if n := b.requests.Load(); n != 0 {
+			t.Errorf("%d requests reached the server", n)
+		}
+	})
+}
