--- a/api/config.go
+++ b/api/config.go
@@ -88,7 +88,8 @@
 	Priority int `cbor:"priority"`
 	// Rate is the quota in requests per second. 0, or more than 1e9: unlimited.
 	Rate float64 `cbor:"rate_per_s"`
-	// Burst is the maximum burst, in requests.
+	// Burst is the maximum burst, in requests. 0: the smallest that lets Rate through, a fifth of
+	// a second's requests, at least one.
 	Burst float64 `cbor:"burst_size"`
 }
 
--- a/dataplane/quota/plan_test.go
+++ b/dataplane/quota/plan_test.go
@@ -35,3 +35,21 @@
 		}
 	}
 }
+
+// A plan with a rate and no burst admitted nothing: its bucket could not hold a unit
+// (docs/incidents/0029). It admits its rate, and stays within the quota rule without a burst.
+func TestPlanWithoutABurstAdmitsItsRate(t *testing.T) {
+	for _, limiters := range []int{1, 6} {
+		for _, rate := range []float64{5, 100, 1000} {
+			f := newFleet(limiters, NewPlan(rate, 0))
+			at := f.run(0, 20_000, 4*rate)
+			if n := maxInWindow(at); n > bound(Plan{Rate: rate}) {
+				t.Errorf("%d limiters, %v a second: %d requests in 5 s, want at most %d", limiters, rate, n,
+					bound(Plan{Rate: rate}))
+			}
+			if n := float64(len(at)); n < 0.8*20*min(rate, 100*float64(limiters)) {
+				t.Errorf("%d limiters, %v a second: %v requests admitted in 20 s", limiters, rate, n)
+			}
+		}
+	}
+}
--- a/dataplane/quota/quota.go
+++ b/dataplane/quota/quota.go
@@ -46,14 +46,22 @@
 	maxBurst = 1e12 // units
 )
 
+// A plan without a burst gets the smallest bucket that lets its rate through: requests do not arrive
+// evenly, and the bucket of each limiter must be able to hold a unit.
+const (
+	minBurst         = 1.0 // units
+	minBurstOfRateMs = 200 // the time in which the rate fills the bucket
+)
+
 // NewPlan returns the plan for the rate and burst that an operator has set, which may be any
-// numbers. A rate that is not above 0, or above any possible traffic, is unlimited.
+// numbers. A rate that is not above 0, or above any possible traffic, is unlimited. A burst that is
+// not above 0 is left out: the plan gets the smallest bucket that lets its rate through.
 func NewPlan(rate, burst float64) Plan {
 	if !(rate > 0 && rate <= maxRate) { // also NaN
 		return Plan{}
 	}
 	if !(burst > 0) {
-		burst = 0
+		burst = max(minBurst, rate*minBurstOfRateMs/millisPerSecond)
 	}
 	return Plan{Rate: rate, Burst: min(burst, maxBurst)}
 }
