--- a/keys/keys_test.go
+++ b/keys/keys_test.go
@@ -140,6 +140,53 @@
 	expectMutualTrust("after reading a corrupt key")
 }
 
+// A first or third stage that was interrupted between its writes left different numbers of certificates and gossip
+// keys, and every later rotation failed (docs/incidents/0029). After any of its writes the next call of Rotate drops
+// what is not active, machines can be issued, and a whole rotation follows.
+func TestInterruptedFirstAndLastStageAreResumed(t *testing.T) {
+	t.Parallel()
+	for _, interrupted := range []Stage{StageAdded, StageDropped} {
+		for written := 1; written <= 3; written++ {
+			ca := authority(t)
+			for stage := Stage(""); stage != StageInUse && interrupted == StageDropped; {
+				var err error
+				if stage, err = Rotate(ca, time.Now()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			before := t.TempDir()
+			copyFiles(t, ca, before)
+			if stage, err := Rotate(ca, time.Now()); err != nil || stage != interrupted {
+				t.Fatalf("%s, %v", stage, err)
+			}
+			for _, name := range []string{caFile, gossipKeyFile, nextGossipKeyFile}[:written] {
+				if data, err := readFile(ca, name); err == nil {
+					write(t, before, name, data)
+				}
+			}
+			issue(t, before, t.TempDir())
+			stages := []Stage{StageDropped, StageAdded, StageInUse, StageDropped}
+			if interrupted == StageDropped && written > 1 { // all that matters was written
+				stages = stages[1:]
+			}
+			for _, want := range stages {
+				if stage, err := Rotate(before, time.Now()); err != nil || stage != want {
+					t.Fatalf("%s, %d writes: %s, %v; want %s", interrupted, written, stage, err, want)
+				}
+				issue(t, before, t.TempDir())
+			}
+		}
+	}
+}
+
+// copyFiles copies the files of a folder.
+func copyFiles(t *testing.T, from, to string) {
+	t.Helper()
+	if err := os.CopyFS(to, os.DirFS(from)); err != nil {
+		t.Fatal(err)
+	}
+}
+
 // Without a gossip key, nobody can read, modify or forge a sealed datagram, or replay it once
 // it is outside the replay window.
 func TestSealedDatagrams(t *testing.T) {
--- a/keys/rotate.go
+++ b/keys/rotate.go
@@ -54,15 +54,17 @@
 		return StageInUse, useNewKeys(dir, &trusted, nextCAKey)
 	case !errors.Is(err, fs.ErrNotExist):
 		return "", err
-	case len(trusted.certificates) == 1:
+	case len(trusted.certificates) == 1 && len(trusted.gossipKeys) == 1:
 		return StageAdded, addNewKeys(dir, &trusted, caPEM, now)
 	}
 	return StageDropped, dropOldKeys(dir, &trusted)
 }
 
+// validate checks that there are one or two keys of each kind. The numbers differ after an
+// interrupted call: addNewKeys and dropOldKeys write the certificates first.
 func (t *trustedKeys) validate() error {
 	certificates, gossipKeys := len(t.certificates), len(t.gossipKeys)
-	if certificates < 1 || certificates > 2 || gossipKeys != certificates {
+	if certificates < 1 || certificates > 2 || gossipKeys < 1 || gossipKeys > 2 {
 		return fmt.Errorf("keys: not a valid authority folder: %s contains %d certificates and %s %d keys",
 			caFile, certificates, gossipKeyFile, gossipKeys)
 	}
@@ -71,8 +73,7 @@
 
 // addNewKeys generates new keys and adds them to the trusted ones. The new CA key is written
 // last: its presence marks that the other files contain the new keys. If it is missing, the
-// next call of Rotate drops the keys that an interrupted call has added, or fails if only the
-// certificate was added.
+// next call of Rotate drops the keys that an interrupted call has added.
 func addNewKeys(dir string, trusted *trustedKeys, caPEM []byte, now time.Time) error {
 	ca, err := newCA(now)
 	if err != nil {
@@ -166,7 +167,8 @@
 	return nil
 }
 
-// dropOldKeys removes all but the active keys.
+// dropOldKeys removes all but the active keys, which are the first of each kind. It completes an
+// interrupted call, and undoes an interrupted addNewKeys.
 func dropOldKeys(dir string, trusted *trustedKeys) error {
 	err := writeFiles(dir,
 		fileContent{caFile, trusted.certificates[0]},
