--- a/balancer/node/parserequest.go
+++ b/balancer/node/parserequest.go
@@ -127,10 +127,11 @@
 // if they contain bytes that a server might not parse.
 func requestTarget(hr *http.Request) (string, error) {
 	target := hr.RequestURI
-	if !strings.HasPrefix(target, "/") || strings.HasPrefix(target, "//") {
+	if !strings.HasPrefix(target, "/") {
 		target = hr.URL.RequestURI()
 	}
-	if !printable(target) {
+	reEncoded := strings.HasPrefix(target, "//") && targetURL(target).RequestURI() != target
+	if !printable(target) || reEncoded {
 		return "", badRequestf("the path or query holds what has to be escaped")
 	}
 	return target, nil
--- a/balancer/node/servers.go
+++ b/balancer/node/servers.go
@@ -279,14 +279,25 @@
 	if c.contentType != "" {
 		h["Content-Type"] = []string{c.contentType}
 	}
-	// Opaque is written unchanged, whereas Path and RawQuery may be re-encoded.
-	r := &http.Request{Method: c.method, URL: &url.URL{Opaque: c.target}, Host: c.host, Header: h}
+	r := &http.Request{Method: c.method, URL: targetURL(c.target), Host: c.host, Header: h}
 	if len(c.body) > 0 {
 		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(c.body)), int64(len(c.body))
 	}
 	return r
 }
 
+// targetURL returns the URL that is written as a target. Opaque is written unchanged, whereas Path and
+// RawQuery may be re-encoded; but before an Opaque that begins with two slashes net/url writes the
+// scheme and a colon. For such targets requestTarget has checked that the re-encoding changes nothing.
+func targetURL(target string) *url.URL {
+	if strings.HasPrefix(target, "//") {
+		if u, err := url.ParseRequestURI(target); err == nil {
+			return u
+		}
+	}
+	return &url.URL{Opaque: target}
+}
+
 // parseLoad parses a load report. Values that are not valid count as not reported.
 func parseLoad(text string) balancer.Load {
 	l := noLoad
--- a/balancer/node/servers_test.go
+++ b/balancer/node/servers_test.go
@@ -42,6 +42,43 @@
 	}
 }
 
+// A target that begins with two slashes went to the server as "://a/b" (docs/incidents/0029). Every target is written as
+// it came, or the request is rejected.
+func TestTargetIsWrittenAsItCame(t *testing.T) {
+	t.Parallel()
+	for target, want := range map[string]string{
+		"/a/b?x=%2f":        "/a/b?x=%2f",
+		"//a/b":             "//a/b",
+		"//a/b?x=%2f&y=":    "//a/b?x=%2f&y=",
+		"///":               "///",
+		"//a/%7Eb//":        "//a/%7Eb//",
+		"//a?b?c":           "//a?b?c",
+		"http://h//a/b?x=1": "//a/b?x=1",
+		"//a/<b":            "", // net/url would escape it
+	} {
+		text := "GET " + target + " HTTP/1.1\r\nHost: h\r\n\r\n"
+		hr, err := http.ReadRequest(bufio.NewReader(strings.NewReader(text)))
+		if err != nil {
+			t.Fatalf("%s: %v", target, err)
+		}
+		got, err := requestTarget(hr)
+		if (err != nil) != (want == "") {
+			t.Errorf("%s: %q, %v", target, got, err)
+		}
+		if err != nil {
+			continue
+		}
+		var out strings.Builder
+		c := call{method: "GET", target: got, host: "h", requestID: "r"}
+		if err := c.request(time.Second).Write(&out); err != nil {
+			t.Fatal(err)
+		}
+		if line, _, _ := strings.Cut(out.String(), "\r\n"); line != "GET "+want+" HTTP/1.1" {
+			t.Errorf("%s: %q is written", target, line)
+		}
+	}
+}
+
 // An unsafe request on a persistent connection that breaks must not be sent again: it may have
 // been executed.
 func TestNoResendOnBrokenConnection(t *testing.T) {
