--- a/balancer/node/servers_test.go
+++ b/balancer/node/servers_test.go
@@ -42,8 +42,8 @@
 	}
 }
 
-// A target that begins with two slashes went to the server as "://a/b" (docs/incidents/0029). Every target is written as
-// it came, or the request is rejected.
+// A target that begins with two slashes went to the server as "://a/b" (docs/incidents/0029). Every
+// target is written as it came, or the request is rejected.
 func TestTargetIsWrittenAsItCame(t *testing.T) {
 	t.Parallel()
 	for target, want := range map[string]string{
--- a/process/watch.go
+++ b/process/watch.go
@@ -29,8 +29,11 @@
 	// power or has not started yet does not answer at all, so the limit is lower than for the
 	// answer of a member with a connection.
 	connectTimeout = 120 * time.Millisecond
-	// fetchTimeout limits fetching the chunks of a delta that did not fit into the response.
-	fetchTimeout = 2 * time.Second
+	// chunkTimeout limits the fetch of one chunk of a delta that did not fit into the response, and
+	// fetchTimeout that of all chunks. A member that answers no more is given up after the first;
+	// the second is more than the largest delta takes on a link of 5 Mbit/s.
+	chunkTimeout = 2 * time.Second
+	fetchTimeout = time.Minute
 	// minRetryPause and maxRetryPause bound the pause after a failed watch. Without a lease the
 	// maximum is noLeaseRetryPause, because no requests can be served until there is one.
 	minRetryPause     = 30 * time.Millisecond
@@ -184,6 +187,13 @@
 	fetch func(context.Context, *api.FetchRequest) (*api.Chunk, error)
 }
 
+// fetchChunk fetches one chunk of a delta.
+func (m *watchedMember) fetchChunk(ctx context.Context, q *api.FetchRequest) (*api.Chunk, error) {
+	ctx, cancel := context.WithTimeout(ctx, chunkTimeout)
+	defer cancel()
+	return m.fetch(ctx, q)
+}
+
 // chooseMember returns the member to ask: the local one, unless it failed to answer the last
 // watch. ok is false if no member is known or no connection to it can be created.
 func (w *watcher) chooseMember() (m watchedMember, ok bool) {
@@ -243,7 +253,7 @@
 	}
 	ctx, cancel := context.WithTimeout(ctx, fetchTimeout)
 	defer cancel()
-	data, err := controlplane.FetchDelta(ctx, encoded, m.fetch, table)
+	data, err := controlplane.FetchDelta(ctx, encoded, m.fetchChunk, table)
 	if err != nil {
 		w.log.Debug("fetching a delta failed", "peer", m.addr, "table", table, "to", encoded.To, "error", err)
 		return false
