TestReplaceReachesServersWithoutDecompression: reject compressed calls for real

The test passed with the retry of invokeCompressed disabled: its server rejected compressed calls in an interceptor, which the service's own handlers never call, so every call was executed at once.

Its server now rejects compressed calls in the handlers, and the test wants one rejected call and one executed: stricter than before. Seen to fail with the retry disabled, and to pass with it.

--- a/api/control_test.go
+++ b/api/control_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"slices"
 	"testing"
 
 	"google.golang.org/grpc"
@@ -14,7 +15,8 @@
 // oldServer is a server of an earlier version, which does not support compression.
 type oldServer struct {
 	Control
-	calls int // calls of Replace that were decoded
+	calls    int // calls of Replace that were decoded
+	rejected int // compressed calls, which it can't decode
 }
 
 type compressionKey struct{}
@@ -37,6 +39,28 @@
 	return &ControlResponse{Status: 200}, nil
 }
 
+// serviceDesc returns the Control service with handlers that reject compressed calls before they
+// read the request, as grpc does without a decompressor. (The service's own handlers call no
+// interceptors.)
+func (s *oldServer) serviceDesc() *grpc.ServiceDesc {
+	desc := controlDesc
+	desc.Methods = slices.Clone(controlDesc.Methods)
+	for i := range desc.Methods {
+		handle := desc.Methods[i].Handler
+		desc.Methods[i].Handler = func(
+			srv any, ctx context.Context, decode func(any) error, interceptor grpc.UnaryServerInterceptor,
+		) (any, error) {
+			if *ctx.Value(compressionKey{}).(*bool) {
+				s.rejected++
+				return nil, status.Error(codes.Unimplemented,
+					"grpc: Decompressor is not installed for grpc-encoding \"gzip\"")
+			}
+			return handle(srv, ctx, decode, interceptor)
+		}
+	}
+	return &desc
+}
+
 // During a rolling upgrade, a compressed Replace is repeated uncompressed for a leader of an
 // earlier version, which executes it exactly once.
 func TestReplaceReachesServersWithoutDecompression(t *testing.T) {
@@ -45,15 +69,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := grpc.NewServer(grpc.StatsHandler(old), grpc.UnaryInterceptor(
-		func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, handle grpc.UnaryHandler) (any, error) {
-			if *ctx.Value(compressionKey{}).(*bool) {
-				return nil, status.Error(codes.Unimplemented,
-					"grpc: Decompressor is not installed for grpc-encoding \"gzip\"")
-			}
-			return handle(ctx, req)
-		}))
-	RegisterControl(s, old)
+	s := grpc.NewServer(grpc.StatsHandler(old))
+	s.RegisterService(old.serviceDesc(), old)
 	serve(t, s, l)
 	conns := NewConnPool(nil)
 	t.Cleanup(conns.Close)
@@ -62,7 +79,7 @@
 		t.Fatal(err)
 	}
 	r, err := CallReplace(t.Context(), conn, &ReplaceRequest{Base: 1, Config: []byte("configuration")})
-	if err != nil || r.Status != 200 || old.calls != 1 {
-		t.Errorf("%+v, %v, %d calls executed", r, err, old.calls)
+	if err != nil || r.Status != 200 || old.calls != 1 || old.rejected != 1 {
+		t.Errorf("%+v, %v, %d calls executed, %d rejected; want one of each", r, err, old.calls, old.rejected)
 	}
 }
