--- a/membership/doc.go
+++ b/membership/doc.go
@@ -7,7 +7,8 @@
 // incarnation number, and the higher one overrides the lower one. A process that learns that
 // it was declared dead refutes this with a higher incarnation. Views that differ are
 // reconciled by an anti-entropy exchange of digests (push/pull), so a lost message delays
-// information but does not lose it.
+// information but does not lose it. Groups that were partitioned find each other again by
+// heartbeats that each process sends now and then to one that it does not know to be alive.
 //
 // [View] is the deterministic state machine, without I/O, clock or goroutines. [Service] runs a
 // View: it sends and answers heartbeats over gRPC.
--- a/membership/failure.go
+++ b/membership/failure.go
@@ -87,6 +87,7 @@
 	for name, r := range v.peers {
 		if r.State == Dead && now-r.deadAt > deadRetention {
 			v.replaceStatement(&r.Peer, nil)
+			v.rememberRemoved(r.Addr)
 			delete(v.peers, name)
 			v.deadCount--
 		}
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"math/rand/v2"
 	"time"
 
 	"example.org/elmspan/api"
@@ -16,6 +17,11 @@
 	views      map[string]*View
 	now        time.Duration
 	statements int // total number sent in all exchanges
+
+	cut        func(from, to string) bool // reports whether two processes are partitioned; nil: none are
+	reconnects bool                       // processes reconnect, see reconnect
+	seeds      []string                   // addresses
+	rng        *rand.Rand
 }
 
 func newFleet(n int) *fleet {
@@ -36,9 +42,9 @@
 		if len(watchers) == 0 {
 			watchers = []string{"n0"} // the seed
 		}
-		for _, w := range watchers {
+		for _, w := range append(watchers, f.reconnect(v)...) {
 			other := f.views[w]
-			if other == nil || other == v {
+			if other == nil || other == v || f.cut != nil && f.cut(name, w) {
 				continue
 			}
 			heartbeats++
@@ -48,6 +54,25 @@
 	return heartbeats
 }
 
+// reconnect returns the process to which a process sends a further heartbeat in this round, as
+// Service.reconnectAddr does.
+func (f *fleet) reconnect(v *View) []string {
+	if !f.reconnects || f.rng.IntN(int(reconnectInterval/heartbeatInterval)) > 0 {
+		return nil
+	}
+	addrs := v.ReconnectAddrs(f.seeds)
+	if len(addrs) == 0 {
+		return nil
+	}
+	addr := addrs[f.rng.IntN(len(addrs))]
+	for name, other := range f.views {
+		if other.self.Addr == addr {
+			return []string{name}
+		}
+	}
+	return nil
+}
+
 func (f *fleet) exchange(from, to *View) {
 	for heartbeat := from.Heartbeat(f.now); heartbeat != nil; {
 		response := to.HandleHeartbeat(f.now, heartbeat)
--- a/membership/service.go
+++ b/membership/service.go
@@ -42,6 +42,7 @@
 	inFlight      map[string]bool // addresses with an exchange in progress
 	notifiedCount uint64          // ChangeCount of the view at the last call of onChange
 	exchangedAt   time.Duration   // time of the last exchange started by ExchangeWith
+	reconnectAt   time.Duration   // time of the next heartbeat to a process that is not known to be alive
 	ctx           context.Context // of Run; nil while Run is not active
 }
 
@@ -153,6 +154,9 @@
 	if len(addrs) == 0 {
 		addrs = s.randomSeeds()
 	}
+	if addr := s.reconnectAddr(); addr != "" {
+		addrs = append(addrs, addr)
+	}
 	heartbeat := s.view.Heartbeat(s.now())
 	for _, addr := range addrs {
 		if addr != s.view.self.Addr && !s.inFlight[addr] {
@@ -173,6 +177,25 @@
 	return addrs
 }
 
+// reconnectAddr returns the address of a process that is not known to be alive, if it is time to
+// send a heartbeat to one, and "" otherwise. The caller holds mu.
+func (s *Service) reconnectAddr() string {
+	now := s.now()
+	if now < s.reconnectAt {
+		return ""
+	}
+	isFirst := s.reconnectAt == 0
+	s.reconnectAt = now + reconnectInterval/2 + backoff.Jitter(reconnectInterval, s.rng)
+	if isFirst { // a process that has just started joins by its seeds
+		return ""
+	}
+	addrs := s.view.ReconnectAddrs(s.seeds())
+	if len(addrs) == 0 {
+		return ""
+	}
+	return addrs[s.rng.IntN(len(addrs))]
+}
+
 // randomSeeds returns up to maxJoinSeeds randomly selected seeds. The caller holds mu.
 func (s *Service) randomSeeds() []string {
 	seeds := slices.Clone(s.seeds())
--- a/membership/view.go
+++ b/membership/view.go
@@ -37,6 +37,7 @@
 	changedNames  map[string]bool        // names of changed processes since the last TakeChanges
 	checkedAt     time.Duration          // time of the last DetectFailures; 0: none yet
 	watched       map[string]bool        // processes watched by this one at that time
+	removedAddrs  []string               // addresses of processes whose entries were removed, the latest last
 }
 
 // peerRecord is the entry of another process.
