--- a/dataplane/clock.go
+++ b/dataplane/clock.go
@@ -1,8 +1,9 @@
 package dataplane
 
 import (
-	"math"
 	"time"
+
+	"example.org/elmspan/settings"
 )
 
 // clock measures the time since the process started, on the monotonic clock: changes of the wall clock have no
@@ -21,14 +22,5 @@
 // inMs returns a duration in milliseconds.
 func inMs(d time.Duration) float64 { return float64(d) / float64(time.Millisecond) }
 
-// maxMillis is the longest duration that millis returns, in milliseconds.
-const maxMillis = float64(math.MaxInt64 / int64(time.Millisecond))
-
-// millis returns the duration of ms milliseconds, limited to the range of durations; 0 for NaN. (Go does not define the
-// conversion of a number out of range: a very long time could become one in the past.)
-func millis(ms float64) time.Duration {
-	if math.IsNaN(ms) {
-		return 0
-	}
-	return time.Duration(max(-maxMillis, min(maxMillis, ms)) * float64(time.Millisecond))
-}
+// millis returns the duration of ms milliseconds, limited to the range of durations.
+func millis(ms float64) time.Duration { return settings.Millis(ms) }
--- a/dataplane/extremeconfig_test.go
+++ b/dataplane/extremeconfig_test.go
@@ -137,12 +137,12 @@
 // Durations out of range are the longest ones, and not in the past.
 func TestDurationsAreSaturated(t *testing.T) {
 	t.Parallel()
-	const longest = time.Duration(maxMillis) * time.Millisecond
+	const longest = time.Duration(math.MaxInt64)
 	for ms, want := range map[float64]time.Duration{
 		0: 0, 1.5: 1500 * time.Microsecond, -2: -2 * time.Millisecond,
 		1e18: longest, math.Inf(1): longest, math.Inf(-1): -longest,
 	} {
-		if got := millis(ms); got.Round(time.Second) != want.Round(time.Second) {
+		if got := millis(ms); (got - want).Abs() > time.Second {
 			t.Errorf("%v ms: %v, want %v", ms, got, want)
 		}
 	}
--- a/settings/node.go
+++ b/settings/node.go
@@ -16,6 +16,7 @@
 package settings
 
 import (
+	"math"
 	"net/netip"
 	"slices"
 	"time"
@@ -185,5 +186,15 @@
 	return slices.Compact(out)
 }
 
-// Millis converts a setting in milliseconds to a duration.
-func Millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
+// maxMillis is the longest duration that Millis returns, in milliseconds.
+const maxMillis = float64(math.MaxInt64 / int64(time.Millisecond))
+
+// Millis returns the duration of ms milliseconds, limited to the range of durations; 0 for NaN. (Go
+// does not define the conversion of a number out of range: a very long time could become one in the
+// past.)
+func Millis(ms float64) time.Duration {
+	if math.IsNaN(ms) {
+		return 0
+	}
+	return time.Duration(max(-maxMillis, min(maxMillis, ms)) * float64(time.Millisecond))
+}
--- a/settings/validate.go
+++ b/settings/validate.go
@@ -91,17 +91,16 @@
 	}
 }
 
-// valid reports whether a gateway can run within the limits. Of the NaN values only a LinkMbps of
-// NaN is rejected.
+// valid reports whether a gateway can run within the limits.
 func (l *Limits) valid() bool {
-	if l.CPUShare < 0 || l.MemoryMB < 0 || l.DiskMB < 0 || l.MaxFDs < 0 {
+	if !(l.CPUShare >= 0) || l.MemoryMB < 0 || l.DiskMB < 0 || l.MaxFDs < 0 { // negated, to reject NaN
 		return false
 	}
 	return l.LinkMbps >= 0 && (l.MaxFDs == 0 || l.MaxFDs >= minFDs)
 }
 
-// validate checks that no value is negative and that required values are above 0. The error text
-// is the same for both, although 0 is allowed for values that are not required.
+// validate checks that no value is negative or NaN and that required values are above 0. The error
+// text is the same for both, although 0 is allowed for values that are not required.
 func (t *Timing) validate(c *errorCollector) {
 	for _, field := range []struct {
 		name     string
@@ -121,7 +120,7 @@
 		{"retry_window_s", t.RetryWindowS, false},
 		{"retry_budget_slack", t.RetrySlack, false},
 	} {
-		if field.value < 0 || field.required && field.value == 0 {
+		if !(field.value >= 0) || field.required && field.value == 0 { // negated, to reject NaN
 			c.add("timing_bounds."+field.name, "%v: must be above 0", field.value)
 		}
 	}
