Emulator: clients that speak HTTP/1.0 or send a second request before the first is answered

Change: 1 in 20 clients speaks HTTP/1.0, 1 in 10 of those whose requests may repeat pipelines a second one; the checker judges both answers.

--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -44,8 +44,9 @@
 
 type clientConn struct {
 	net.Conn
-	in   *bufio.Reader
-	used bool // it has carried a request before
+	in     *bufio.Reader
+	used   bool // it has carried a request before
+	closes bool // it carries no further request
 }
 
 func newClient(host string) *Client { return &Client{host: host, idle: map[string][]*clientConn{}} }
@@ -81,8 +82,12 @@
 	// addedRoute: on the class's route that was added during the day.
 	addedRoute bool
 	// keeps: what must not run twice is sent on kept connections too.
-	keeps  bool
-	events attemptEvents // nil: nobody wants to know
+	keeps bool
+	// http10: the client speaks HTTP/1.0, with a connection for each attempt.
+	http10 bool
+	// pipelines: a second request, which may run twice, is sent on the connection before the first is answered.
+	pipelines bool
+	events    attemptEvents // nil: nobody wants to know
 }
 
 // routeName is the first segment of the request's path.
@@ -150,7 +155,7 @@
 
 // attempt sends a request once. The client leaves at a time, by its deadline at the latest.
 func (c *Client) attempt(r *request, target, id string, deadline, leaveAt time.Time) outcome {
-	kept := r.keeps || r.class.Idempotent()
+	kept := (r.keeps || r.class.Idempotent()) && !r.http10
 	conn, err := c.conn(target, kept)
 	if err != nil {
 		return outcome{unread: true}
@@ -164,7 +169,7 @@
 	if r.events != nil {
 		r.events.answered(id, head.Status, head.Get("Server-Seal"), body)
 	}
-	if head.ClosesConnection() || !kept {
+	if head.ClosesConnection() || conn.closes || !kept {
 		_ = conn.Close() // all was read
 	} else {
 		c.keep(target, conn)
@@ -203,38 +208,76 @@
 func (c *Client) exchange(
 	conn *clientConn, r *request, target, id string, deadline, leaveAt time.Time,
 ) (*h1.Head, []byte, error) {
-	key, body := r.key(), bodyOf(id, r.class.RequestBytes)
+	key := r.key()
+	text := c.requestText(r, target, id, key, deadline)
+	second := id + pipelinedSuffix
+	pipelines := r.pipelines && r.events != nil && r.class.Idempotent() && !r.http10
+	if pipelines {
+		text += c.requestText(r, target, second, key, deadline)
+	}
+	if err := conn.SetDeadline(leaveAt); err != nil {
+		return nil, nil, err
+	}
+	if _, err := io.WriteString(conn, text); err != nil {
+		return nil, nil, err
+	}
+	head, answer, err := conn.readAnswer()
+	if err == nil && pipelines && !head.ClosesConnection() {
+		conn.closes = !c.readSecond(conn, r, second)
+	}
+	return head, answer, err
+}
+
+// pipelinedSuffix tells the id of a pipelined request from that of the one before it.
+const pipelinedSuffix = "+"
+
+// requestText returns a request as it is sent, and notes that it is.
+func (c *Client) requestText(r *request, target, id, key string, deadline time.Time) string {
+	body := bodyOf(id, r.class.RequestBytes)
 	if r.events != nil {
 		r.events.sent(id, target, key, body)
 	}
-	method := http.MethodGet
+	method, version := http.MethodGet, "HTTP/1.1"
 	if len(body) > 0 {
 		method = http.MethodPost
 	}
-	if err := conn.SetDeadline(leaveAt); err != nil {
-		return nil, nil, err
+	if r.http10 {
+		version = "HTTP/1.0"
 	}
-	_, err := fmt.Fprintf(conn, "%s /%s/%s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\n"+
+	budgetMs := max(1, time.Until(deadline).Milliseconds())
+	return fmt.Sprintf("%s /%s/%s %s\r\nHost: %s\r\nAttempt-Id: %s\r\nTime-Budget-Ms: %d\r\n"+
 		"Authorization: Token %s\r\nTenant-Name: nobody\r\nContent-Length: %d\r\n\r\n%s",
-		method, r.routeName(), id, c.host, id, max(1, time.Until(deadline).Milliseconds()), key, len(body), body)
-	if err != nil {
-		return nil, nil, err
-	}
-	head, err := h1.ReadResponse(conn.in, maxHeadBytes)
+		method, r.routeName(), id, version, c.host, id, budgetMs, key, len(body), body)
+}
+
+// readAnswer reads the next answer of a connection, as its framing delimits it.
+func (c *clientConn) readAnswer() (*h1.Head, []byte, error) {
+	head, err := h1.ReadResponse(c.in, maxHeadBytes)
 	if err != nil {
 		return nil, nil, err
 	}
-	framing, err := head.ResponseFraming(method)
+	framing, err := head.ResponseFraming(http.MethodGet)
 	if err != nil {
 		return nil, nil, err
 	}
-	answer, err := io.ReadAll(h1.NewBody(conn.in, framing))
+	answer, err := io.ReadAll(h1.NewBody(c.in, framing))
 	if err != nil && framing == h1.UntilClose {
 		err = fmt.Errorf("%w: %w", errNoEnd, err)
 	}
 	return head, answer, err
 }
 
+// readSecond reads the answer to a pipelined request, and reports whether the connection can be used again.
+func (c *Client) readSecond(conn *clientConn, r *request, id string) (reusable bool) {
+	head, answer, err := conn.readAnswer()
+	if err != nil {
+		c.noAnswer(conn, r, id, err, true)
+		return false
+	}
+	r.events.answered(id, head.Status, head.Get("Server-Seal"), answer)
+	return !head.ClosesConnection()
+}
+
 // errNoEnd: an answer that lasts until the connection ends was not complete.
 var errNoEnd = errors.New("emulator: the answer has not ended")
 
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -51,6 +51,8 @@
 	sequence    int
 	home        home
 	giveUpAfter time.Duration // of the client; 0: until the deadline
+	http10      bool          // the client speaks HTTP/1.0
+	pipelines   bool          // it sends a second request before the first is answered
 }
 
 // Clients that leave stay for a part of the latency target, from the least to the most.
@@ -59,6 +61,12 @@
 	maxGiveUpPart = 0.5
 )
 
+// Shares of the clients that speak HTTP/1.0, and that send a second request before the first is answered.
+const (
+	http10Share     = 0.05
+	pipeliningShare = 0.1
+)
+
 // run sends the day's requests, spaced at random, until the context ends, and waits
 // for their answers.
 func (l *load) run(ctx context.Context) {
@@ -83,6 +91,7 @@
 	pause := seconds(l.rng.ExpFloat64() / (class.PerS * faster))
 	l.sequence++
 	a := arrival{tenant: tenant, pause: pause, sequence: l.sequence}
+	a.http10, a.pipelines = l.rng.Float64() < http10Share, l.rng.Float64() < pipeliningShare
 	a.home = home{l.rng.IntN(len(l.fleet.spec.Zones)), l.rng.IntN(clientsPerZone)}
 	if l.rng.Float64() < l.leaving {
 		part := minGiveUpPart + (maxGiveUpPart-minGiveUpPart)*l.rng.Float64()
@@ -147,6 +156,8 @@
 		giveUpAfter: a.giveUpAfter,
 		addedRoute:  added,
 		keeps:       true,
+		http10:      a.http10,
+		pipelines:   a.pipelines,
 		events: &loggedAttempts{
 			log: l.fleet.log, class: class, tenant: a.tenant.Name,
 			added: added, anyRetries: added && l.fleet.operator.hasExtremes(),
