Membership: dial a process that may be gone once for each heartbeat

Before: TestProcessesThatAreGoneAreDialedOnce counts 2,516 attempts in two minutes with 20 dead processes. After: it passes, at most 48.

--- a/api/connpool.go
+++ b/api/connpool.go
@@ -58,6 +58,11 @@
 	return c, nil
 }
 
+// Dial returns a connection to an address that is not kept in the pool; the caller closes it. It is
+// meant for addresses at which there may be nobody: a connection of the pool would be tried again
+// and again. Errors are those of the function [Dial].
+func (p *ConnPool) Dial(addr string) (*grpc.ClientConn, error) { return Dial(addr, p.ring, p.opts...) }
+
 // closeIdle closes idle connections if the pool is full. The caller holds mu.
 func (p *ConnPool) closeIdle(now time.Time) {
 	for addr, used := range p.lastUsed {
--- a/membership/reconnect_test.go
+++ b/membership/reconnect_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -175,3 +176,35 @@
 	cancel()
 	done.Wait()
 }
+
+// A heartbeat to a process that is gone for good left a connection in the pool that was tried again and again, several
+// times a second for each such process. Each heartbeat makes one attempt.
+func TestProcessesThatAreGoneAreDialedOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var dialed atomic.Int64
+		dial := func(context.Context, string) (net.Conn, error) {
+			dialed.Add(1)
+			return nil, net.ErrClosed
+		}
+		conns := api.NewConnPool(nil, grpc.WithContextDialer(dial))
+		defer conns.Close()
+		noSeeds := func() []string { return nil }
+		s := New(testPeer(0), noSeeds, conns, 1, slog.New(slog.DiscardHandler), func([]api.Peer) {})
+		for i := 1; i <= 20; i++ {
+			p := testPeer(i)
+			s.view.Merge(s.now(), []api.Peer{p})
+			p.State = Dead
+			s.view.Merge(s.now(), []api.Peer{p})
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		var done sync.WaitGroup
+		done.Go(func() { s.Run(ctx) })
+		const length = 2 * time.Minute
+		time.Sleep(length)
+		cancel()
+		done.Wait()
+		if n := dialed.Load(); n < 10 || n > 2*int64(length/reconnectInterval) {
+			t.Errorf("%d attempts to connect in %v", n, length)
+		}
+	})
+}
--- a/membership/service.go
+++ b/membership/service.go
@@ -8,6 +8,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/grpc"
+
 	"example.org/elmspan/api"
 	"example.org/elmspan/internal/backoff"
 )
@@ -154,10 +156,10 @@
 	if len(addrs) == 0 {
 		addrs = s.randomSeeds()
 	}
-	if addr := s.reconnectAddr(); addr != "" {
-		addrs = append(addrs, addr)
-	}
 	heartbeat := s.view.Heartbeat(s.now())
+	if addr := s.reconnectAddr(); addr != "" && !s.inFlight[addr] {
+		s.startExchangeOn(ctx, addr, heartbeat, s.dial)
+	}
 	for _, addr := range addrs {
 		if addr != s.view.self.Addr && !s.inFlight[addr] {
 			s.startExchange(ctx, addr, heartbeat)
@@ -203,11 +205,36 @@
 	return seeds[:min(maxJoinSeeds, len(seeds))]
 }
 
-// startExchange runs an exchange in a new goroutine. The caller holds mu.
+// startExchange runs an exchange in a new goroutine, on the pool's connection. The caller holds mu.
 func (s *Service) startExchange(ctx context.Context, addr string, heartbeat *api.HeartbeatRequest) {
+	s.startExchangeOn(ctx, addr, heartbeat, s.pooledConn)
+}
+
+// connect returns a connection to an address, and the function that the exchange calls at its end.
+type connect func(addr string) (conn *grpc.ClientConn, release func(), err error)
+
+// pooledConn returns the pool's connection, which stays open.
+func (s *Service) pooledConn(addr string) (conn *grpc.ClientConn, release func(), err error) {
+	conn, err = s.conns.Conn(addr)
+	return conn, func() {}, err
+}
+
+// dial returns a connection for one exchange with a process that may be gone for good.
+func (s *Service) dial(addr string) (conn *grpc.ClientConn, release func(), err error) {
+	conn, err = s.conns.Dial(addr)
+	return conn, func() { _ = conn.Close() }, err // fails only on a closed connection
+}
+
+// startExchangeOn runs an exchange in a new goroutine. The caller holds mu.
+func (s *Service) startExchangeOn(
+	ctx context.Context, addr string, heartbeat *api.HeartbeatRequest, connectTo connect,
+) {
 	s.inFlight[addr] = true
 	s.tasks.Go(func() {
-		s.exchange(ctx, addr, heartbeat)
+		if conn, release, err := connectTo(addr); err == nil {
+			s.exchange(ctx, conn, addr, heartbeat)
+			release()
+		}
 		s.mu.Lock()
 		defer s.mu.Unlock()
 		delete(s.inFlight, addr)
@@ -215,9 +242,11 @@
 }
 
 // exchange sends a heartbeat, and that of the second round if one is needed.
-func (s *Service) exchange(ctx context.Context, addr string, heartbeat *api.HeartbeatRequest) {
+func (s *Service) exchange(
+	ctx context.Context, conn *grpc.ClientConn, addr string, heartbeat *api.HeartbeatRequest,
+) {
 	for heartbeat != nil {
-		response, err := s.call(ctx, addr, heartbeat)
+		response, err := s.call(ctx, conn, heartbeat)
 		if err != nil {
 			s.log.Debug("heartbeat failed", "addr", addr, "error", err)
 			return
@@ -226,11 +255,9 @@
 	}
 }
 
-func (s *Service) call(ctx context.Context, addr string, q *api.HeartbeatRequest) (*api.HeartbeatResponse, error) {
-	conn, err := s.conns.Conn(addr)
-	if err != nil {
-		return nil, err
-	}
+func (s *Service) call(
+	ctx context.Context, conn *grpc.ClientConn, q *api.HeartbeatRequest,
+) (*api.HeartbeatResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, heartbeatTimeout)
 	defer cancel()
 	return api.CallHeartbeat(ctx, conn, q)
