Plain names in the tests of incidents 0026 to 0029, one check of bodiless responses

In responseframing_test.go the check for a response without a body stood three times; now once. Names, comments and test tables only: no assertion, bound or product code changes.

--- a/api/rows.go
+++ b/api/rows.go
@@ -16,7 +16,7 @@
 )
 
 // noTenantsRow is the complete key of the row that stands for a tenant table without entries:
-// without any tenant row, a limiter could not tell it from a table that was left out, and would
+// without any tenant row, a limiter could not distinguish it from a table that was left out, and would
 // serve requests without a key (docs/incidents/0028). It is the row of a tenant that no
 // configuration can have, with an empty name and no key, so that limiters of earlier versions
 // require keys too.
--- a/api/tenanttable_test.go
+++ b/api/tenanttable_test.go
@@ -54,8 +54,8 @@
 }
 
 // An empty tenant table had the same rows as one that was left out: after the last tenant was taken
-// away, limiters served requests with any key, or none (docs/incidents/0028). The rows tell them
-// apart, also for limiters of earlier versions, whether they are built anew or by difference.
+// away, limiters served requests with any key, or none (docs/incidents/0028). The rows
+// differ, also for limiters of earlier versions, whether they are built anew or by difference.
 func TestEmptyTenantTableStillRequiresKeys(t *testing.T) {
 	for _, from := range tenantTables {
 		previous, err := ValidateConfig(encodeWithTenants(t, 1, from.fields), nil)
@@ -97,8 +97,8 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		if again, err := ParseConfig(data); err != nil || again.RequiresKeys() != table.requiresKeys {
-			t.Errorf("%s: keys are required: %t, %v", table.name, again.RequiresKeys(), err)
+		if decoded, err := ParseConfig(data); err != nil || decoded.RequiresKeys() != table.requiresKeys {
+			t.Errorf("%s: keys are required: %t, %v", table.name, decoded.RequiresKeys(), err)
 		}
 	}
 }
--- a/dataplane/quota/quota_test.go
+++ b/dataplane/quota/quota_test.go
@@ -145,7 +145,7 @@
 
 // A tenant that was taken away and brought back got a fresh burst each time (docs/incidents/0029): in a window of the
 // quota rule it used that many bursts. Its bucket goes on, and peers draw what was admitted just before.
-func TestTenantThatIsAddedAgainGetsNoFreshBurst(t *testing.T) {
+func TestReaddedTenantGetsNoFreshBurst(t *testing.T) {
 	p := Plan{Rate: 100, Burst: 100}
 	f := newFleet(6, p)
 	at := f.run(0, 4000, 400)
--- a/dataplane/responseframing_test.go
+++ b/dataplane/responseframing_test.go
@@ -67,7 +67,7 @@
 	}
 	out := c.bodyBytes()
 	switch {
-	case c.method == "HEAD" || c.status == 204 || c.status == 304:
+	case c.bodyless():
 		out = ""
 	case c.ends != endsInOrder:
 		out = out[:len(out)/2]
@@ -84,11 +84,15 @@
 	return c.ends == endsInOrder && c.framing != unframed
 }
 
-// wholeAtServer reports whether the gateway can tell that the response it received is the complete one. An unframed
+// wholeAtServer reports whether the gateway knows that the response it received is the complete one. An unframed
 // body that ends with an orderly close is complete by definition, wherever it ends.
 func (c *framingCase) wholeAtServer() bool {
-	bodyless := c.method == "HEAD" || c.status == 204 || c.status == 304
-	return c.ends == endsInOrder || bodyless
+	return c.ends == endsInOrder || c.bodyless()
+}
+
+// bodyless reports whether the response has no body, whatever its framing fields state.
+func (c *framingCase) bodyless() bool {
+	return c.method == "HEAD" || c.status == 204 || c.status == 304
 }
 
 // requests returns the two requests as the client sends them.
@@ -176,7 +180,7 @@
 }
 
 // mustBeForwarded reports whether the client must get the server's response: a failure with a complete body. A success
-// without framing is not forwarded, as its end can't be told from a truncation.
+// without framing is not forwarded, as its end can't be distinguished from a truncation.
 func (c *framingCase) mustBeForwarded() bool {
 	return c.wholeAtServer() && (c.status/100 != 2 || c.framing != unframed || c.method == "HEAD" || c.status == 204)
 }
@@ -209,7 +213,7 @@
 
 // A response without a stated length, whose body ends with the server's connection, was forwarded without framing once
 // it was too long to buffer: the client took the next response for more of its body (docs/incidents/0026). Of every
-// status, framing, size and end of a server's response, the client gets the whole body, or can tell that it is
+// status, framing, size and end of a server's response, the client gets the whole body, or detects that it is
 // truncated; and the next response on its connection is its own.
 func TestUnframedResponseDoesNotTakeInTheNextResponse(t *testing.T) {
 	t.Parallel()
--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -228,7 +228,7 @@
 	return head, answer, err
 }
 
-// pipelinedSuffix tells the id of a pipelined request from that of the one before it.
+// pipelinedSuffix distinguishes the id of a pipelined request from that of the one before it.
 const pipelinedSuffix = "+"
 
 // requestText returns a request as it is sent, and notes that it is.
--- a/membership/fleet_test.go
+++ b/membership/fleet_test.go
@@ -18,10 +18,10 @@
 	now        time.Duration
 	statements int // total number sent in all exchanges
 
-	cut        func(from, to string) bool // reports whether two processes are partitioned; nil: none are
-	reconnects bool                       // processes reconnect, see reconnect
-	seeds      []string                   // addresses
-	rng        *rand.Rand
+	partitioned func(from, to string) bool // reports whether two processes are partitioned; nil: none are
+	reconnects  bool                       // processes reconnect, see reconnect
+	seeds       []string                   // addresses
+	rng         *rand.Rand
 }
 
 func newFleet(n int) *fleet {
@@ -44,7 +44,7 @@
 		}
 		for _, w := range append(watchers, f.reconnect(v)...) {
 			other := f.views[w]
-			if other == nil || other == v || f.cut != nil && f.cut(name, w) {
+			if other == nil || other == v || f.partitioned != nil && f.partitioned(name, w) {
 				continue
 			}
 			heartbeats++
--- a/membership/reconnect_test.go
+++ b/membership/reconnect_test.go
@@ -39,11 +39,11 @@
 			f := newFleet(size)
 			f.converge()
 			f.reconnects, f.seeds, f.rng = true, seeds, rand.New(rand.NewPCG(1, uint64(length)))
-			f.cut = func(from, to string) bool { return side(from) != side(to) }
+			f.partitioned = func(from, to string) bool { return side(from) != side(to) }
 			for end := f.now + length; f.now < end; {
 				f.round()
 			}
-			f.cut = nil
+			f.partitioned = nil
 			merged := f.now + 2*reconnectInterval
 			for ; !f.allAlive(size); f.round() {
 				if f.now > merged {
@@ -179,7 +179,7 @@
 
 // A heartbeat to a process that is gone for good left a connection in the pool that was tried again and again, several
 // times a second for each such process. Each heartbeat makes one attempt.
-func TestProcessesThatAreGoneAreDialedOnce(t *testing.T) {
+func TestRemovedProcessesAreDialedOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		var dialed atomic.Int64
 		dial := func(context.Context, string) (net.Conn, error) {
--- a/process/watch_test.go
+++ b/process/watch_test.go
@@ -57,19 +57,19 @@
 func TestLargeDeltaIsFetchedOnASlowLink(t *testing.T) {
 	const chunkTakes = 26 * time.Millisecond // 16 KB at 5 Mbit/s
 	for name, c := range map[string]struct {
-		silentFrom int // chunks after which the member answers no more
-		applied    bool
-		within     time.Duration
+		answeredChunks int // after them the member answers no more
+		applied        bool
+		within         time.Duration
 	}{
-		"slow":   {1 << 20, true, 300 * chunkTakes},
-		"silent": {3, false, 3*chunkTakes + chunkTimeout},
+		"slow":         {1 << 20, true, 300 * chunkTakes},
+		"unresponsive": {3, false, 3*chunkTakes + chunkTimeout},
 	} {
 		t.Run(name, func(t *testing.T) {
 			synctest.Test(t, func(t *testing.T) {
 				data := largeDelta(t)
 				chunks := 0
 				member := watchedMember{fetch: func(ctx context.Context, q *api.FetchRequest) (*api.Chunk, error) {
-					if chunks++; chunks > c.silentFrom {
+					if chunks++; chunks > c.answeredChunks {
 						<-ctx.Done()
 						return nil, ctx.Err()
 					}
