Review case 5: a kill of all processes grants every tenant its burst once more

The buckets live in memory; limiters that start without an older peer hold the whole burst between them at once.

--- a/review/testdata/probe/quota.go
+++ b/review/testdata/probe/quota.go
@@ -24,9 +24,9 @@
 	quotaOver   = 0.1             // quota_overshoot
 	quotaSlack  = 20.0            // quota_slack
 
-	quotaAskers = 90
+	quotaAskers = 60
 	quotaPause  = 2 * time.Millisecond // of a client after an answer, unless that says when to come back
-	quotaBefore = time.Second          // from the first request to the kill
+	quotaBefore = time.Second          // from the first clients to the kill, and from there to further ones
 	quotaPlay   = 10 * time.Second
 )
 
@@ -64,18 +64,23 @@
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	var askers []*asker
-	for i := range quotaAskers {
-		a := &asker{w: w, name: fmt.Sprintf("c%02d", i), home: i % 3, stop: stop,
-			statuses: map[int]int{}, sentAt: map[string]time.Time{}}
-		askers = append(askers, a)
-		running.Go(a.run)
+	wave := func(n int) { // the tenant's clients that begin now
+		for i := range quotaAskers {
+			a := &asker{w: w, name: fmt.Sprintf("w%d-%02d", n, i), home: i % 3, stop: stop,
+				statuses: map[int]int{}, sentAt: map[string]time.Time{}}
+			askers = append(askers, a)
+			running.Go(a.run)
+		}
 	}
+	wave(1)
 	time.Sleep(quotaBefore)
 	if w.trouble {
 		for _, m := range w.machines {
 			m.signal(syscall.SIGKILL)
 		}
 	}
+	time.Sleep(quotaBefore)
+	wave(2)
 	time.Sleep(quotaPlay)
 	close(stop)
 	running.Wait()
