--- a/review/testdata/probe/quota.go
+++ b/review/testdata/probe/quota.go
@@ -18,8 +18,8 @@
 // tenant asks for more than its limit.
 
 const (
-	quotaRate   = 50.0 // rate_per_s of the tenant
-	quotaBurst  = 300.0
+	quotaRate   = 40.0 // rate_per_s of the tenant
+	quotaBurst  = 400.0
 	quotaWindow = 5 * time.Second // quota_window_s
 	quotaOver   = 0.1             // quota_overshoot
 	quotaSlack  = 20.0            // quota_slack
@@ -30,6 +30,13 @@
 	quotaPlay   = 10 * time.Second
 )
 
+// askedRequest is one request of a client.
+type askedRequest struct {
+	id     string
+	sent   time.Time
+	status int // 0: no answer
+}
+
 // asker is a client of the tenant, with one connection at a time.
 type asker struct {
 	w        *world
@@ -37,8 +44,7 @@
 	home     int
 	stop     <-chan struct{}
 	sequence int
-	statuses map[int]int
-	sentAt   map[string]time.Time
+	asked    []askedRequest
 }
 
 func playQuota(w *world) (breaks []string, err error) {
@@ -64,15 +70,14 @@
 	stop := make(chan struct{})
 	var running sync.WaitGroup
 	var askers []*asker
-	wave := func(n int) { // the tenant's clients that begin now
-		for i := range quotaAskers {
-			a := &asker{w: w, name: fmt.Sprintf("w%d-%02d", n, i), home: i % 3, stop: stop,
-				statuses: map[int]int{}, sentAt: map[string]time.Time{}}
+	wave := func(n, clients int) { // the tenant's clients that begin now
+		for i := range clients {
+			a := &asker{w: w, name: fmt.Sprintf("w%d-%03d", n, i), home: i % 3, stop: stop}
 			askers = append(askers, a)
 			running.Go(a.run)
 		}
 	}
-	wave(1)
+	wave(1, quotaAskers)
 	time.Sleep(quotaBefore)
 	if w.trouble {
 		for _, m := range w.machines {
@@ -80,7 +85,7 @@
 		}
 	}
 	time.Sleep(quotaBefore)
-	wave(2)
+	wave(2, 2*quotaAskers)
 	time.Sleep(quotaPlay)
 	close(stop)
 	running.Wait()
@@ -89,70 +94,79 @@
 
 // run asks again and again, after an answer with Retry-After when that says.
 func (a *asker) run() {
-	var c net.Conn
-	var in *bufio.Reader
 	for {
-		select {
-		case <-a.stop:
-			if c != nil {
-				_ = c.Close()
+		front := a.w.platform.entry(a.home)
+		if front != "" {
+			if c, err := net.DialTimeout("tcp", front, time.Second); err == nil {
+				a.askOn(c)
+				_ = c.Close() // it has ended, or the client is done
 			}
-			return
-		default:
 		}
-		if c == nil {
-			front := a.w.platform.entry(a.home)
-			var err error
-			if front == "" {
-				time.Sleep(20 * time.Millisecond)
-				continue
-			}
-			if c, err = net.DialTimeout("tcp", front, time.Second); err != nil {
-				c = nil
-				time.Sleep(20 * time.Millisecond)
-				continue
-			}
-			in = bufio.NewReader(c)
+		if a.stopped(20 * time.Millisecond) {
+			return
 		}
+	}
+}
+
+// stopped waits for a pause and reports whether the client is to stop.
+func (a *asker) stopped(pause time.Duration) bool {
+	select {
+	case <-a.stop:
+		return true
+	case <-time.After(pause):
+		return false
+	}
+}
+
+// askOn asks on a connection until that ends or the client is to stop.
+func (a *asker) askOn(c net.Conn) {
+	in := bufio.NewReader(c)
+	for {
 		a.sequence++
-		id := fmt.Sprintf("%s-%05d", a.name, a.sequence)
-		_ = c.SetDeadline(time.Now().Add(1500 * time.Millisecond))
-		a.sentAt[id] = time.Now()
-		_, err := io.WriteString(c, fmt.Sprintf("GET /look/%s HTTP/1.1\r\nHost: look.example\r\nAttempt-Id: %s\r\n"+
-			"Time-Budget-Ms: 1000\r\nAuthorization: Token key-of-acme\r\n\r\n", id, id))
-		var resp *http.Response
+		r := askedRequest{id: fmt.Sprintf("%s-%05d", a.name, a.sequence), sent: time.Now()}
+		resp, err := ask(c, in, r.id)
 		if err == nil {
-			resp, err = http.ReadResponse(in, &http.Request{Method: http.MethodGet})
-		}
-		if err == nil {
-			_, err = io.ReadAll(resp.Body)
+			r.status = resp.StatusCode
 		}
+		a.asked = append(a.asked, r)
 		if err != nil {
-			a.statuses[0]++
-			_ = c.Close()
-			c = nil
-			continue
-		}
-		a.statuses[resp.StatusCode]++
-		if resp.Close {
-			_ = c.Close()
-			c = nil
+			return
 		}
 		pause := quotaPause
 		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
 			pause = max(pause, time.Duration(s*float64(time.Second)))
 		}
-		time.Sleep(pause)
+		if a.stopped(pause) || resp.Close {
+			return
+		}
+	}
+}
+
+// ask sends one request and reads its answer.
+func ask(c net.Conn, in *bufio.Reader, id string) (*http.Response, error) {
+	if err := c.SetDeadline(time.Now().Add(1500 * time.Millisecond)); err != nil {
+		return nil, err
+	}
+	if _, err := fmt.Fprintf(c, "GET /look/%s HTTP/1.1\r\nHost: look.example\r\nAttempt-Id: %s\r\n"+
+		"Time-Budget-Ms: 1000\r\nAuthorization: Token key-of-acme\r\n\r\n", id, id); err != nil {
+		return nil, err
+	}
+	resp, err := http.ReadResponse(in, &http.Request{Method: http.MethodGet})
+	if err != nil {
+		return nil, err
 	}
+	_, err = io.Copy(io.Discard, resp.Body)
+	return resp, err
 }
 
 // judgeQuota counts the requests that are both sent and run in each window of the rule QUOTA.
 func judgeQuota(w *world, askers []*asker) (breaks []string, err error) {
 	sentAt, statuses := map[string]time.Time{}, map[int]int{}
 	for _, a := range askers {
-		maps.Copy(sentAt, a.sentAt)
-		for s, n := range a.statuses {
-			statuses[s] += n
+		for _, r := range a.asked {
+			sentAt[r.id] = r.sent
+			statuses[r.status]++
+			w.rec.note("request %s sent %.1f status %d", r.id, w.rec.ms(r.sent), r.status)
 		}
 	}
 	began := map[string]time.Time{} // the first run of each request
