--- a/review/testdata/probe/quota.go
+++ b/review/testdata/probe/quota.go
@@ -18,19 +18,22 @@
 // tenant asks for more than its limit.
 
 const (
-	quotaRate   = 40.0 // rate_per_s of the tenant
-	quotaBurst  = 400.0
+	quotaRate   = 100.0 // rate_per_s of the tenant
+	quotaBurst  = 1100.0
 	quotaWindow = 5 * time.Second // quota_window_s
 	quotaOver   = 0.1             // quota_overshoot
 	quotaSlack  = 20.0            // quota_slack
 
-	quotaAskers = 60
-	quotaPause  = 2 * time.Millisecond // of a client after an answer, unless that says when to come back
-	quotaBefore = time.Second          // from the first clients to the kill, and from there to further ones
-	quotaPlay   = 10 * time.Second
+	quotaUsual   = quotaRate / 1.6         // requests a second of the tenant, as quota_x of the sites has it
+	quotaHot     = 9.6                     // times as many while the tenant is hot
+	quotaHotFor  = 6400 * time.Millisecond // how long it is
+	quotaBefore  = 2200 * time.Millisecond // from when it is hot to the kill
+	quotaWorkers = 300                     // most requests of the tenant at a time
+	quotaTries   = 3                       // of a client for one request, within its deadline
+	quotaWait    = time.Second             // the deadline
 )
 
-// askedRequest is one request of a client.
+// askedRequest is one try of a client.
 type askedRequest struct {
 	id     string
 	sent   time.Time
@@ -42,9 +45,10 @@
 	w        *world
 	name     string
 	home     int
-	stop     <-chan struct{}
 	sequence int
 	asked    []askedRequest
+	c        net.Conn // nil: none
+	in       *bufio.Reader
 }
 
 func playQuota(w *world) (breaks []string, err error) {
@@ -66,80 +70,105 @@
 	if err := w.launch(c); err != nil {
 		return nil, err
 	}
-	time.Sleep(5 * time.Second)
-	stop := make(chan struct{})
+	time.Sleep(5 * time.Second) // longer than contact_ms
+
+	due := make(chan struct{}, quotaWorkers)
 	var running sync.WaitGroup
 	var askers []*asker
-	wave := func(n, clients int) { // the tenant's clients that begin now
-		for i := range clients {
-			a := &asker{w: w, name: fmt.Sprintf("w%d-%03d", n, i), home: i % 3, stop: stop}
-			askers = append(askers, a)
-			running.Go(a.run)
-		}
-	}
-	wave(1, quotaAskers)
-	time.Sleep(quotaBefore)
+	for i := range quotaWorkers {
+		a := &asker{w: w, name: fmt.Sprintf("c%03d", i), home: i % 3}
+		askers = append(askers, a)
+		running.Go(func() { a.run(due) })
+	}
+	demand(due, quotaUsual, 2*time.Second)
+	w.rec.note("the tenant is hot")
+	demand(due, quotaUsual*quotaHot, quotaBefore)
 	if w.trouble {
 		for _, m := range w.machines {
 			m.signal(syscall.SIGKILL)
 		}
 	}
-	time.Sleep(quotaBefore)
-	wave(2, 2*quotaAskers)
-	time.Sleep(quotaPlay)
-	close(stop)
+	demand(due, quotaUsual*quotaHot, quotaHotFor-quotaBefore)
+	w.rec.note("the tenant is as usual")
+	demand(due, quotaUsual, 2*time.Second)
+	close(due)
 	running.Wait()
 	return judgeQuota(w, askers)
 }
 
-// run asks again and again, after an answer with Retry-After when that says.
-func (a *asker) run() {
-	for {
-		front := a.w.platform.entry(a.home)
-		if front != "" {
-			if c, err := net.DialTimeout("tcp", front, time.Second); err == nil {
-				a.askOn(c)
-				_ = c.Close() // it has ended, or the client is done
-			}
-		}
-		if a.stopped(20 * time.Millisecond) {
+// demand makes requests due at an even pace. Those that find no client free are left out.
+func demand(due chan<- struct{}, perS float64, length time.Duration) {
+	start := time.Now()
+	for made := 0; ; {
+		elapsed := time.Since(start)
+		if elapsed >= length {
 			return
 		}
+		for ; float64(made) < perS*elapsed.Seconds(); made++ {
+			select {
+			case due <- struct{}{}:
+			default:
+			}
+		}
+		time.Sleep(time.Millisecond)
 	}
 }
 
-// stopped waits for a pause and reports whether the client is to stop.
-func (a *asker) stopped(pause time.Duration) bool {
-	select {
-	case <-a.stop:
-		return true
-	case <-time.After(pause):
-		return false
+// run makes the requests that are due: each again after a refusal, when that says, and after a failure, within its
+// deadline.
+func (a *asker) run(due <-chan struct{}) {
+	for range due {
+		deadline := time.Now().Add(quotaWait)
+		for try := 0; try < quotaTries && time.Now().Before(deadline); try++ {
+			status, pause := a.try()
+			if status == http.StatusOK || time.Now().Add(pause).After(deadline) {
+				break
+			}
+			time.Sleep(pause)
+		}
 	}
+	a.hangUp()
 }
 
-// askOn asks on a connection until that ends or the client is to stop.
-func (a *asker) askOn(c net.Conn) {
-	in := bufio.NewReader(c)
-	for {
-		a.sequence++
-		r := askedRequest{id: fmt.Sprintf("%s-%05d", a.name, a.sequence), sent: time.Now()}
-		resp, err := ask(c, in, r.id)
-		if err == nil {
-			r.status = resp.StatusCode
+// try makes one try; status 0: no answer.
+func (a *asker) try() (status int, pause time.Duration) {
+	const again = 50 * time.Millisecond // without Retry-After
+	if a.c == nil {
+		front := a.w.platform.entry(a.home)
+		if front == "" {
+			return 0, again
 		}
-		a.asked = append(a.asked, r)
+		c, err := net.DialTimeout("tcp", front, time.Second)
 		if err != nil {
-			return
+			return 0, again
 		}
-		pause := quotaPause
+		a.c, a.in = c, bufio.NewReader(c)
+	}
+	a.sequence++
+	r := askedRequest{id: fmt.Sprintf("%s-%05d", a.name, a.sequence), sent: time.Now()}
+	resp, err := ask(a.c, a.in, r.id)
+	if err == nil {
+		r.status = resp.StatusCode
+	}
+	a.asked = append(a.asked, r)
+	if err != nil || resp.Close {
+		a.hangUp()
+	}
+	pause = again
+	if err == nil {
 		if s, err := strconv.ParseFloat(resp.Header.Get("Retry-After"), 64); err == nil {
-			pause = max(pause, time.Duration(s*float64(time.Second)))
-		}
-		if a.stopped(pause) || resp.Close {
-			return
+			pause = time.Duration(s * float64(time.Second))
 		}
 	}
+	return r.status, pause
+}
+
+// hangUp closes the connection, if there is one.
+func (a *asker) hangUp() {
+	if a.c != nil {
+		_ = a.c.Close() // it may have ended
+		a.c = nil
+	}
 }
 
 // ask sends one request and reads its answer.
