--- a/review/testdata/probe/quota.go
+++ b/review/testdata/probe/quota.go
@@ -19,15 +19,15 @@
 
 const (
 	quotaRate   = 100.0 // rate_per_s of the tenant
-	quotaBurst  = 1100.0
+	quotaBurst  = 700.0
 	quotaWindow = 5 * time.Second // quota_window_s
 	quotaOver   = 0.1             // quota_overshoot
 	quotaSlack  = 20.0            // quota_slack
 
 	quotaUsual   = quotaRate / 1.6         // requests a second of the tenant, as quota_x of the sites has it
-	quotaHot     = 9.6                     // times as many while the tenant is hot
-	quotaHotFor  = 6400 * time.Millisecond // how long it is
-	quotaBefore  = 2200 * time.Millisecond // from when it is hot to the kill
+	quotaHot     = 7.5                     // times as many while the tenant is hot
+	quotaHotFor  = 6500 * time.Millisecond // how long it is
+	quotaBefore  = 1900 * time.Millisecond // from when it is hot to the kill
 	quotaWorkers = 300                     // most requests of the tenant at a time
 	quotaTries   = 3                       // of a client for one request, within its deadline
 	quotaWait    = time.Second             // the deadline
