--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -31,12 +31,12 @@
 	ctx        context.Context
 	disconnect context.CancelFunc
 
-	mu           sync.Mutex
-	requestsRead int  // guarded by mu
-	idle         bool // guarded by mu; the connection waits for the first byte of a request
-	closing      bool // guarded by mu; no response follows the current one
-	lastWritten  bool // guarded by mu; the final response was written completely
-	watchDone    bool // guarded by mu; see watchWhile
+	progress connProgress
+
+	mu          sync.Mutex
+	idle        bool // guarded by mu; the connection waits for the first byte of a request
+	lastWritten bool // guarded by mu; the final response was written completely
+	watchDone   bool // guarded by mu; see watchWhile
 }
 
 func newClientConn(l *clientListener, nc net.Conn) *clientConn {
@@ -61,17 +61,17 @@
 	c.in.Reset(&disconnectReader{c.nc, c.disconnect})
 	pipeline := newPipeline()
 	defer c.finish(pipeline)
-	defer c.listener.forwarder.recoverPanic(nil, c.markClosing)
+	defer c.listener.forwarder.recoverPanic(nil, c.progress.close)
 	nextTurn := make(chan struct{}) // closed when the next request to be read may write its response
 	close(nextTurn)
-	for first := true; ; first = false {
+	for first := true; c.readsNext(pipeline); first = false {
 		head, err := c.readHead(first)
 		if err != nil {
 			c.answerMalformed(err, nextTurn)
 			return
 		}
 		arrived := time.Now()
-		sequence, ok := c.nextSequence()
+		sequence, ok := c.progress.requestRead()
 		if !ok {
 			return
 		}
@@ -138,16 +138,10 @@
 	c.listener.remove(c)
 }
 
-// nextSequence returns the sequence number of the request just read. It returns false if an earlier response closes the
-// connection: the request then counts as not received.
-func (c *clientConn) nextSequence() (sequence int, ok bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.closing {
-		return 0, false
-	}
-	c.requestsRead++
-	return c.requestsRead, true
+// readsNext reports whether another request is to be read. A drain ends the reading while requests are unanswered: a
+// client that always has another one ready would never see its connection closed.
+func (c *clientConn) readsNext(pipeline *pipeline) bool {
+	return !c.listener.readiness.draining.Load() || !c.progress.endReadingInDrain(pipeline.full())
 }
 
 // waitForTurn waits until a non-idempotent request may be processed, and reports whether it may. If an earlier response
@@ -156,9 +150,7 @@
 func (c *clientConn) waitForTurn(r *request, turn <-chan struct{}) bool {
 	c.await(turn)
 	c.setReadDeadline(r.deadline) // await leaves one in the past, and the rest of a long body is still to be read
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	return !c.closing && !c.disconnected()
+	return !c.progress.isClosing() && !c.disconnected()
 }
 
 // readHead waits for a request and reads its head. The error is io.EOF if no request has begun, and an [h1.Error] if
@@ -189,7 +181,7 @@
 // waitForByte waits for the first byte of a request. A drain can interrupt the wait; see wakeIfIdle.
 func (c *clientConn) waitForByte(wait time.Duration) error {
 	c.mu.Lock()
-	if c.closing {
+	if c.progress.isClosing() {
 		wait = c.listener.linger
 	}
 	c.setReadDeadline(time.Now().Add(wait))
@@ -209,6 +201,9 @@
 		return
 	}
 	c.await(turn) // earlier responses go first
+	if c.progress.isClosing() {
+		return // the request counts as not received
+	}
 	c.listener.log.Debug("malformed request", "from", c.nc.RemoteAddr(), "error", err)
 	resp := &response{status: malformed.Status, text: malformed.Reason, closes: true}
 	if c.write(c.ctx, resp, nil, time.Now().Add(c.listener.writeTimeout)) == nil {
@@ -220,7 +215,7 @@
 // whether the connection must be closed.
 func (c *clientConn) answer(r *request, refusal *response, turn <-chan struct{}, sequence int) (closes bool) {
 	defer c.listener.forwarder.recoverPanic(r, func() {
-		c.markClosing()
+		c.progress.close()
 		_ = c.nc.Close() // the response may have been written in part
 		closes = true
 	})
@@ -234,14 +229,14 @@
 	c.listener.report(r, resp)
 	<-turn
 	if c.decideClose(r, resp, sequence) || resp.reason == clientDisconnected.code {
-		c.markClosing()
+		c.progress.close()
 		return true
 	}
 	err := c.writeResponse(r, resp)
 	if err == nil && !resp.closes {
 		return false
 	}
-	c.markClosing()
+	c.progress.close()
 	if err == nil {
 		c.closeAfterLast()
 	} else {
@@ -264,28 +259,13 @@
 	return err
 }
 
-// markClosing records that the connection ends and no further response is written.
-func (c *clientConn) markClosing() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.closing = true
-}
-
 // decideClose decides whether the response announces that the connection closes. It returns true if an earlier response
 // has closed the connection: this one is not written.
 func (c *clientConn) decideClose(r *request, resp *response, sequence int) (ended bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	switch {
-	case c.closing:
-		return true
-	case r.head.ClosesConnection(), resp.endsWithConnection(r.head), r.stream != nil && !r.stream.Done():
-		resp.closes = true
-	case c.listener.readiness.draining.Load() && sequence == c.requestsRead: // no later request was read
-		resp.closes = true
-	}
-	c.closing = resp.closes
-	return false
+	mustClose := resp.closes || r.head.ClosesConnection() || resp.endsWithConnection(r.head) ||
+		r.stream != nil && !r.stream.Done()
+	resp.closes, ended = c.progress.decideResponse(sequence, mustClose, c.listener.readiness.draining.Load())
+	return ended
 }
 
 // writeDeadline returns the deadline for writing a response. A response still being read from the server may be written
--- a/dataplane/isolation_test.go
+++ b/dataplane/isolation_test.go
@@ -203,9 +203,9 @@
 	t.Helper()
 	waitUntil(t, func() bool {
 		for c := range g.listener.conns {
-			c.mu.Lock()
-			defer c.mu.Unlock()
-			return c.requestsRead >= n
+			c.progress.mu.Lock()
+			defer c.progress.mu.Unlock()
+			return c.progress.requestsRead >= n
 		}
 		return false
 	}, g)
--- a/dataplane/pipeline.go
+++ b/dataplane/pipeline.go
@@ -34,3 +34,6 @@
 
 // empty reports whether no request is in flight.
 func (p *pipeline) empty() bool { return len(p.slots) == 0 }
+
+// full reports whether no slot is free.
+func (p *pipeline) full() bool { return len(p.slots) == cap(p.slots) }
