Order the end of a connection behind its pipelined responses

Cause: clientConn.finish took an empty pipeline (a length of a channel, which orders nothing) for the end of the responses, and then read lastWritten, which the last of them has set. Read too early, the connection would be closed without discarding what still arrives, and the client could lose the last response to a reset.

Change: finish waits for the responses in any case, which orders the read behind them.

--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -127,6 +127,7 @@
 	if !pipeline.empty() {
 		c.watchWhile(pipeline.responses.Wait)
 	}
+	pipeline.responses.Wait() // what the responses have changed is read below
 	c.disconnect()
 	c.in.Reset(nil)
 	readerPool.Put(c.in)
