--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -34,9 +34,10 @@
 	progress connProgress
 
 	mu          sync.Mutex
-	idle        bool // guarded by mu; the connection waits for the first byte of a request
-	lastWritten bool // guarded by mu; the final response was written completely
-	watchDone   bool // guarded by mu; see watchWhile
+	idle        bool          // guarded by mu; the connection waits for the first byte of a request
+	idleTimeout time.Duration // guarded by mu; of the wait for that byte once all requests are answered
+	lastWritten bool          // guarded by mu; the final response was written completely
+	watchDone   bool          // guarded by mu; see watchWhile
 }
 
 func newClientConn(l *clientListener, nc net.Conn) *clientConn {
@@ -179,14 +180,12 @@
 	return h, err
 }
 
-// waitForByte waits for the first byte of a request. A drain can interrupt the wait; see wakeIfIdle.
-func (c *clientConn) waitForByte(wait time.Duration) error {
+// waitForByte waits for the first byte of a request. The time-out begins once all requests are answered: until then the
+// connection is not idle, and its end would not have been announced. A drain can interrupt the wait; see wakeIfIdle.
+func (c *clientConn) waitForByte(timeout time.Duration) error {
 	c.mu.Lock()
-	if c.progress.isClosing() {
-		wait = c.listener.linger
-	}
-	c.setReadDeadline(time.Now().Add(wait))
-	c.idle = true
+	c.idle, c.idleTimeout = true, timeout
+	c.setIdleDeadline()
 	c.mu.Unlock()
 	_, err := c.in.Peek(1)
 	c.mu.Lock()
@@ -195,6 +194,28 @@
 	return err
 }
 
+// setIdleDeadline sets the read deadline of the wait for a request. Called with mu held.
+func (c *clientConn) setIdleDeadline() {
+	switch {
+	case c.progress.isClosing():
+		c.setReadDeadline(time.Now().Add(c.listener.linger))
+	case c.progress.allAnswered():
+		c.setReadDeadline(time.Now().Add(c.idleTimeout))
+	default:
+		c.setReadDeadline(time.Time{}) // until responseWritten
+	}
+}
+
+// responseWritten records that a response was written that does not close the connection.
+func (c *clientConn) responseWritten() {
+	c.progress.responseWritten()
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.idle && c.progress.allAnswered() {
+		c.setIdleDeadline()
+	}
+}
+
 // answerMalformed answers a malformed request head after all earlier responses, and ends the connection.
 func (c *clientConn) answerMalformed(err error, turn <-chan struct{}) {
 	var malformed *h1.Error
@@ -235,6 +256,7 @@
 	}
 	err := c.writeResponse(r, resp)
 	if err == nil && !resp.closes {
+		c.responseWritten()
 		return false
 	}
 	c.progress.close()
--- a/dataplane/clientconn_test.go
+++ b/dataplane/clientconn_test.go
@@ -13,9 +13,11 @@
 	"testing"
 	"time"
 
+	"example.org/elmspan/api"
 	"example.org/elmspan/dataplane/attempt"
 	"example.org/elmspan/dataplane/h1"
 	"example.org/elmspan/settings"
+	"example.org/elmspan/versioned"
 )
 
 // The last response on a connection is not lost to a TCP reset while the client is still sending: the gateway discards
@@ -416,3 +418,40 @@
 		close(stalled)
 	})
 }
+
+// A request may take longer than the idle timeout: the connection is idle only once its response was written. It used
+// to be closed right behind that response, with the next request unanswered and nothing announced.
+func TestIdleTimeoutBeginsWithTheLastResponse(t *testing.T) {
+	t.Parallel()
+	const idleTimeout = 500 * time.Millisecond
+	for name, requests := range map[string]int{"one request": 1, "pipelined": maxPipelined + 4} {
+		t.Run(name, func(t *testing.T) {
+			inFakeTime(t, func(t testing.TB) {
+				g := newGateway(t, newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+					time.Sleep(2 * idleTimeout)
+					return respondOK("yes")(w, h, body)
+				}))
+				config := testConfig(inMs(time.Minute), api.RequestLimits{IdleTimeoutMs: inMs(idleTimeout)})
+				config.Revision = 2
+				applyConfig(t, g, &versioned.Table{}, config)
+				c := dial(t, g)
+				for range requests {
+					c.send("GET /get/", "", "")
+				}
+				for range requests {
+					if h := c.expect(200, "yes"); h.ClosesConnection() {
+						t.Error("a response closes the connection")
+					}
+				}
+				time.Sleep(idleTimeout * 9 / 10)
+				c.send("GET /get/", "", "")
+				c.expect(200, "yes")
+				answered := time.Now()
+				_, err := c.in.ReadByte()
+				if took := time.Since(answered); err != io.EOF || took != idleTimeout {
+					t.Errorf("the idle connection ends with %v after %v; want EOF after %v", err, took, idleTimeout)
+				}
+			})
+		})
+	}
+}
--- a/dataplane/connprogress.go
+++ b/dataplane/connprogress.go
@@ -13,6 +13,7 @@
 	mu               sync.Mutex
 	requestsRead     int  // guarded by mu
 	responsesDecided int  // guarded by mu; responses of which it is settled whether they close the connection
+	responsesWritten int  // guarded by mu
 	drainBegun       bool // guarded by mu; a response was decided during a drain
 	readingEnded     bool // guarded by mu; no further request is read
 	closing          bool // guarded by mu; no response follows the current one
@@ -57,6 +58,20 @@
 	return p.closing, false
 }
 
+// responseWritten records that a response that does not close the connection was written.
+func (p *connProgress) responseWritten() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.responsesWritten++
+}
+
+// allAnswered reports whether the responses to all requests read so far have been written.
+func (p *connProgress) allAnswered() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.responsesWritten == p.requestsRead
+}
+
 // close records that no further response is written.
 func (p *connProgress) close() {
 	p.mu.Lock()
