--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -62,7 +62,7 @@
 	c.in.Reset(&disconnectReader{c.nc, c.disconnect})
 	pipeline := newPipeline()
 	defer c.finish(pipeline)
-	defer c.listener.forwarder.recoverPanic(nil, c.progress.close)
+	defer c.listener.forwarder.recoverPanic(nil, c.progress.endReading)
 	nextTurn := make(chan struct{}) // closed when the next request to be read may write its response
 	close(nextTurn)
 	for first := true; c.readsNext(pipeline); first = false {
@@ -78,7 +78,7 @@
 		}
 		turn, done := nextTurn, make(chan struct{})
 		nextTurn = done
-		r, refusal := c.prepare(head, arrived, turn)
+		r, refusal := c.prepareOrFail(head, arrived, turn)
 		if refusal == nil && r.stream == nil && r.route.IsIdempotent() && !head.ClosesConnection() {
 			if !pipeline.acquireIfFree() {
 				c.watchWhile(pipeline.acquire)
@@ -100,6 +100,20 @@
 	}
 }
 
+// prepareOrFail is prepare, and turns a panic into a response that closes the connection: the requests before this one
+// keep theirs, and how much of this one was read is unknown.
+func (c *clientConn) prepareOrFail(head *h1.Head, arrived time.Time, turn <-chan struct{}) (
+	r *request, refusal *response,
+) {
+	r = &request{ctx: c.ctx, head: head, arrived: arrived}
+	defer c.listener.forwarder.recoverPanic(r, func() {
+		refusal = internalError.response(0)
+		refusal.closes = true
+	})
+	refusal = c.prepare(r, turn)
+	return r, refusal
+}
+
 // answerAlone answers a request without reading the next one before the response is written.
 func (c *clientConn) answerAlone(r *request, refusal *response, turn <-chan struct{}, sequence int) (closes bool) {
 	if refusal != nil {
--- a/dataplane/connprogress.go
+++ b/dataplane/connprogress.go
@@ -43,6 +43,14 @@
 	return p.readingEnded
 }
 
+// endReading ends the reading of requests. If the response to the last one read is not settled yet, it closes the
+// connection.
+func (p *connProgress) endReading() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.readingEnded = true
+}
+
 // decideResponse settles whether the response to a request closes the connection: if it must, or if no later request
 // was read and none will be, as always during a drain. ended reports that an earlier response has closed the
 // connection: this one is not written.
--- a/dataplane/extremeconfig_test.go
+++ b/dataplane/extremeconfig_test.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"io"
 	"math"
 	"math/rand/v2"
 	"testing"
@@ -8,6 +9,7 @@
 
 	"example.org/elmspan/api"
 	"example.org/elmspan/dataplane/attempt"
+	"example.org/elmspan/dataplane/h1"
 	"example.org/elmspan/versioned"
 )
 
@@ -223,3 +225,42 @@
 		})
 	}
 }
+
+// A panic before a request is forwarded ends that request only: those read before it on its connection are with their
+// servers by then, and keep their responses (docs/incidents/0030).
+func TestPanicBeforeForwardingKeepsEarlierResponses(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+			time.Sleep(time.Second)
+			return respondOK("yes")(w, h, body)
+		})
+		g := newGateway(t, b)
+		panicOnRoute(g, "broken")
+		c := dial(t, g)
+		c.pipeline(3)
+		write(c, "GET /open/ HTTP/1.1\r\nHost: broken\r\nAttempt-Id: 3\r\n\r\n")
+		c.pipeline(1)
+		for range 3 {
+			c.expect(200, "yes")
+		}
+		if h := c.expect(500, ""); !h.ClosesConnection() || h.Get("Attempt-Id") != "3" {
+			t.Errorf("response to the request that panicked: %+v", h)
+		}
+		if _, err := c.in.ReadByte(); err != io.EOF {
+			t.Errorf("after it: %v, want EOF", err)
+		}
+		if n := b.requests.Load(); n != 3 {
+			t.Errorf("%d requests reached the server, want 3", n)
+		}
+	})
+}
+
+// panicOnRoute makes the search for the route of a host panic: the lengths of its prefixes are corrupt.
+func panicOnRoute(g *Gateway, name string) {
+	s := *g.router.current()
+	hosts := s.hosts.Builder()
+	hosts.Put(name, &host{lengths: []int{0}})
+	s.hosts = hosts.Map()
+	g.router.snapshot.Store(&s)
+}
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -45,26 +45,25 @@
 
 // prepare validates a request, finds its route and tenant, sets its deadline and reads its body. A non-nil response
 // rejects the request. A 100 Continue waits for turn, like the response itself.
-func (c *clientConn) prepare(head *h1.Head, arrived time.Time, turn <-chan struct{}) (*request, *response) {
-	r := &request{ctx: c.ctx, head: head, arrived: arrived}
-	framing, refusal := validateHead(head)
+func (c *clientConn) prepare(r *request, turn <-chan struct{}) (refusal *response) {
+	framing, refusal := validateHead(r.head)
 	if refusal != nil {
-		return r, refusal
+		return refusal
 	}
 	s := c.listener.router.current()
 	if refusal = r.resolve(s, c.listener.lease); refusal != nil {
 		c.skipBody(r, framing, refusal)
-		return r, refusal
+		return refusal
 	}
 	if refusal = r.setDeadline(); refusal != nil || framing == 0 {
-		return r, refusal
+		return refusal
 	}
 	if framing > s.maxBody {
-		return r, refuseMalformed(413, "the body is too long")
+		return refuseMalformed(413, "the body is too long")
 	}
-	c.sendContinue(head, turn)
+	c.sendContinue(r.head, turn)
 	c.setReadDeadline(r.deadline)
-	return r, r.readBody(h1.NewBody(c.in, framing), framing)
+	return r.readBody(h1.NewBody(c.in, framing), framing)
 }
 
 // validateHead checks the header rules that apply to all requests and returns the framing of the body.
