--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -265,6 +265,7 @@
 	c.listener.report(r, resp)
 	<-turn
 	if c.decideClose(r, resp, sequence) || resp.reason == clientDisconnected.code {
+		c.listener.reportUndelivered(r, resp, nil)
 		c.progress.close()
 		return true
 	}
@@ -277,6 +278,7 @@
 	if err == nil {
 		c.closeAfterLast()
 	} else {
+		c.listener.reportUndelivered(r, resp, err)
 		_ = c.nc.Close()
 	}
 	return true
--- a/dataplane/doc.go
+++ b/dataplane/doc.go
@@ -7,8 +7,9 @@
 //
 // A Gateway is composed of these types:
 //
-//	clientListener  accepts connections and drains them (listener.go)
+//	clientListener  accepts connections and drains them (listener.go, drain.go)
 //	clientConn      a client connection: reads requests, writes responses in order (clientconn.go, request.go)
+//	connProgress    which response of a connection is the last, and announces its end (connprogress.go)
 //	router          the current configuration, an immutable snapshot replaced atomically (router.go, snapshot.go)
 //	forwarder       the lifecycle of a request: attempts, retries, hedges (forwarder.go, lifecycle.go, roundtrip.go)
 //	response        a response and its serialization (response.go, refusal.go)
@@ -21,7 +22,7 @@
 //
 // Locks. guardedLimiter.mu guards the state machine and the state that must change atomically with it: the peers, the
 // endpoints and the waiting downloads. clientListener.mu guards the set of connections, clientConn.mu the state of one
-// connection. A clientConn.mu may be taken under clientListener.mu; guardedLimiter.mu is taken with no other lock of
+// connection; a connProgress has its own. They are taken in this order. guardedLimiter.mu is taken with no other lock of
 // this package held except gossipHost.socketMu, and the locks of the connection pool may be taken under it. Everything
 // else is immutable after New, or atomic.
 package dataplane
--- a/dataplane/forwarder.go
+++ b/dataplane/forwarder.go
@@ -35,6 +35,7 @@
 	rules   attempt.Rules // immutable once requests are served; tests change it before that to inject faults
 
 	inFlight atomic.Int64 // requests being forwarded
+	shutdown shutdown
 
 	// Guarded by guardedLimiter.mu.
 	waiting           map[*limiter.RequestState]chan struct{} // downloads that wait for a slot on the link
@@ -50,6 +51,9 @@
 	if r.disconnected() { // pipelined requests may be processed after the disconnect
 		return clientDisconnected.response(0)
 	}
+	if f.shutdown.tooLateFor(r.deadline) {
+		return shuttingDown.response(minRetryAfter)
+	}
 	run, refusal := f.begin(r)
 	if refusal != nil {
 		return refusal
--- a/dataplane/lifecycle.go
+++ b/dataplane/lifecycle.go
@@ -67,6 +67,8 @@
 	case <-l.granted:
 		return nil
 	case <-t.C:
+	case <-f.shutdown.aborted.Done():
+		refusal = shuttingDown.response(minRetryAfter)
 	case <-l.request.ctx.Done():
 		refusal = clientDisconnected.response(0)
 	}
@@ -90,11 +92,14 @@
 }
 
 // startAttempt sends the request to another server, if one is available. A non-nil response is final. Nothing is sent
-// for a disconnected client.
+// for a disconnected client, or at the end of a drain.
 func (l *lifecycle) startAttempt(hedge bool) (started bool, refusal *response) {
 	if l.request.disconnected() {
 		return false, clientDisconnected.response(0)
 	}
+	if l.forwarder.shutdown.isAborted() {
+		return false, nil
+	}
 	a, refusal := l.chooseServer(hedge)
 	if a == nil {
 		return false, refusal
@@ -138,6 +143,7 @@
 	f := l.forwarder
 	defer func() { l.ended <- a }()
 	defer a.cancel() // the response no longer depends on the context of the attempt
+	defer context.AfterFunc(f.shutdown.aborted, a.cancel)()
 	a.attemptOutcome = attemptOutcome{result: balance.NotSent}
 	defer f.recoverPanic(l.request, func() { a.attemptOutcome = panicOutcome() })
 	if a.overdueAfter > 0 {
@@ -220,10 +226,15 @@
 
 // gatewayResponse returns the gateway's response to a request for which no server's response can be passed on.
 func (l *lifecycle) gatewayResponse() *response {
-	switch l.state.FinalStatus(l.forwarder.clock.nowMs()) {
-	case 503:
+	aborted := l.forwarder.shutdown.isAborted()
+	switch status := l.state.FinalStatus(l.forwarder.clock.nowMs()); {
+	case status == 503 && aborted:
+		return shuttingDown.response(minRetryAfter)
+	case aborted:
+		return abortedByShutdown.response(0)
+	case status == 503:
 		return allServersRejected.response(retryAfterRefused)
-	case 504:
+	case status == 504:
 		return deadlineExceeded.response(0)
 	}
 	return noUsableResponse.response(0)
--- a/dataplane/listener.go
+++ b/dataplane/listener.go
@@ -14,13 +14,6 @@
 )
 
 const (
-	// acceptAfterTerm is how long connections are still accepted after SIGTERM. Within this time the platform detects
-	// that this gateway is not ready and stops sending new connections.
-	acceptAfterTerm = 2600 * time.Millisecond
-	// shutdownReserve is the part of the grace period kept for the shutdown steps after the drain.
-	shutdownReserve = 700 * time.Millisecond
-	// drainPollInterval is how often a drain checks whether connections are left.
-	drainPollInterval = 20 * time.Millisecond
 	// acceptBackoff is the pause after a failed accept, for example when file descriptors have run out.
 	acceptBackoff = 5 * time.Millisecond
 
@@ -92,42 +85,3 @@
 	defer l.mu.Unlock()
 	return len(l.conns)
 }
-
-// drain shuts the listener down in steps: it reports not ready but still accepts until the platform has detected that;
-// then it accepts no new connections, while responses announce that their connections close; at the end of the grace
-// period it closes the remaining connections.
-func (l *clientListener) drain(grace time.Duration) {
-	start := time.Now()
-	l.readiness.draining.Store(true)
-	l.log.Info("draining", "in_flight", l.forwarder.inFlight.Load())
-	time.Sleep(l.acceptFor)
-	_ = l.tcp.Close() // makes accept return
-	end := start.Add(grace - shutdownReserve)
-	for time.Now().Before(end) {
-		l.wakeIdle()
-		if l.count() == 0 {
-			break
-		}
-		time.Sleep(drainPollInterval)
-	}
-	l.closeAll()
-	l.log.Info("drained", "after_ms", time.Since(start).Milliseconds(), "in_flight", l.forwarder.inFlight.Load())
-}
-
-// wakeIdle closes the connections that wait for a request.
-func (l *clientListener) wakeIdle() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		c.wakeIfIdle()
-	}
-}
-
-// closeAll closes the remaining connections.
-func (l *clientListener) closeAll() {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	for c := range l.conns {
-		_ = c.nc.Close() // the grace period is over
-	}
-}
--- a/dataplane/refusal.go
+++ b/dataplane/refusal.go
@@ -25,6 +25,8 @@
 	allServersRejected = refusalReason{503, "none_took_it", "no server took the request"}
 	noConfig           = refusalReason{503, "no_configuration", "no configuration yet"}
 	noLease            = refusalReason{503, "no_lease", "the configuration can't be confirmed now"}
+	shuttingDown       = refusalReason{503, "shutting_down", "the gateway is shutting down"}
+	abortedByShutdown  = refusalReason{504, "shutdown", "the gateway shut down before the server answered"}
 	deadlineExceeded   = refusalReason{504, "time_up", "the time is up"}
 	noUsableResponse   = refusalReason{502, "no_answer", "no server gave an answer of use"}
 	serverFailed       = refusalReason{502, "server_failed", "the server failed"}
@@ -54,6 +56,13 @@
 	byServer  = "server"
 )
 
+// reportUndelivered records that a response which report has recorded did not reach the client in full: writing it
+// failed, or, if the error is nil, its connection had ended before its turn.
+func (l *clientListener) reportUndelivered(r *request, resp *response, err error) {
+	l.metrics.Count("elmspan_undelivered_answers_total", 1)
+	l.log.Debug("answer not delivered", "id", r.head.Get("Attempt-Id"), "status", resp.status, "error", err)
+}
+
 // report records the response to a request in metrics and the log. `elmspan explain` parses the message and its keys.
 func (l *clientListener) report(r *request, resp *response) {
 	observeResponse(l.metrics, r, resp)
--- a/dataplane/roundtrip.go
+++ b/dataplane/roundtrip.go
@@ -46,7 +46,7 @@
 			if o.response != nil {
 				o.response.release()
 			}
-			return attemptOutcome{result: r.cancelledResult(), mayHaveRun: true}
+			return attemptOutcome{result: f.cancelledResult(r), mayHaveRun: true}
 		}
 		// The cancellation can no longer close the connection, so another request may use it.
 		switch streams := o.response != nil && o.response.rest != nil; {
@@ -63,9 +63,12 @@
 }
 
 // cancelledResult returns the result of a cancelled attempt.
-func (r *request) cancelledResult() balance.Result {
-	if r.disconnected() {
+func (f *forwarder) cancelledResult(r *request) balance.Result {
+	switch {
+	case r.disconnected():
 		return balance.ClientDisconnected
+	case f.shutdown.isAborted():
+		return balance.Cancelled
 	}
 	return balance.HedgeLost
 }
