--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -79,7 +79,7 @@
 		turn, done := nextTurn, make(chan struct{})
 		nextTurn = done
 		r, refusal := c.prepareOrFail(head, arrived, turn)
-		if refusal == nil && r.stream == nil && r.route.IsIdempotent() && !head.ClosesConnection() {
+		if refusal == nil && r.mayBePipelined() {
 			if !pipeline.acquireIfFree() {
 				c.watchWhile(pipeline.acquire)
 			}
--- a/dataplane/disconnect_test.go
+++ b/dataplane/disconnect_test.go
@@ -231,3 +231,26 @@
 		})
 	}
 }
+
+// A response to an HTTP/1.0 request may end the connection to delimit its body: what the client has sent behind it
+// counts as not received, and does not run.
+func TestNothingRunsBehindAResponseThatEndsTheConnection(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, _ *h1.Head, _ []byte) bool {
+			time.Sleep(time.Second)
+			write(w, responseHead("404 x", "a1", sealField("a1")), strings.Repeat("x", 2*maxHeldResponse))
+			return false
+		})
+		c := dial(t, newGateway(t, b))
+		write(c, "GET /get/ HTTP/1.0\r\nHost: h\r\nAttempt-Id: a1\r\n",
+			"Authorization: Token k\r\nConnection: keep-alive\r\n\r\n")
+		c.send("GET /get/", "", "")
+		if h, err := h1.ReadResponse(c.in, 1<<16); err != nil || !h.ClosesConnection() {
+			t.Fatalf("%+v, %v", h, err)
+		}
+		if n := b.requests.Load(); n != 1 {
+			t.Errorf("%d requests reached the server, want 1", n)
+		}
+	})
+}
--- a/dataplane/doc.go
+++ b/dataplane/doc.go
@@ -22,7 +22,7 @@
 //
 // Locks. guardedLimiter.mu guards the state machine and the state that must change atomically with it: the peers, the
 // endpoints and the waiting downloads. clientListener.mu guards the set of connections, clientConn.mu the state of one
-// connection; a connProgress has its own. They are taken in this order. guardedLimiter.mu is taken with no other lock of
-// this package held except gossipHost.socketMu, and the locks of the connection pool may be taken under it. Everything
-// else is immutable after New, or atomic.
+// connection, connProgress.mu how far its requests and responses have come; they are taken in this order.
+// guardedLimiter.mu is taken with no other lock of this package held except gossipHost.socketMu, and the locks of the
+// connection pool may be taken under it. Everything else is immutable after New, or atomic.
 package dataplane
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -169,6 +169,12 @@
 // disconnected reports whether the client is known to have disconnected.
 func (r *request) disconnected() bool { return r.ctx.Err() != nil }
 
+// mayBePipelined reports whether the next request of the connection may be read and forwarded before this one is
+// answered. The response to an HTTP/1.0 request may end the connection, and what follows it must not have run.
+func (r *request) mayBePipelined() bool {
+	return r.stream == nil && r.route.IsIdempotent() && !r.head.HTTP10 && !r.head.ClosesConnection()
+}
+
 // attemptContext returns the context of attempts at servers and of the transfer of their responses. It is cancelled
 // when the client disconnects, unless the request is not idempotent: a cancelled attempt would leave it unknown whether
 // the server executed the request.
