--- a/dataplane/clientconn.go
+++ b/dataplane/clientconn.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -264,6 +265,10 @@
 	defer c.listener.forwarder.finish(r)
 	c.listener.report(r, resp)
 	<-turn
+	if resp.restIsOverdue(r) { // what is behind it on the connection would be cut with it
+		c.listener.reportUndelivered(r, resp, os.ErrDeadlineExceeded)
+		resp = deadlineExceeded.response(0)
+	}
 	if c.decideClose(r, resp, sequence) || resp.reason == clientDisconnected.code {
 		c.listener.reportUndelivered(r, resp, nil)
 		c.progress.close()
--- a/dataplane/clientconn_test.go
+++ b/dataplane/clientconn_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
+	"net"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -455,3 +456,29 @@
 		})
 	}
 }
+
+// A long response whose deadline passes before its turn becomes a 504. It used to be begun and cut, and the responses
+// behind it on the connection with it.
+func TestLongResponseThatMissesItsTurnEndsNoConnection(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		b := newBackend(t, func(w io.Writer, h *h1.Head, body []byte) bool {
+			switch h.Target {
+			case "/get/hangs":
+				_, _ = io.Copy(io.Discard, w.(net.Conn)) // until the gateway closes the connection
+				return false
+			case "/get/long":
+				return respondOK(strings.Repeat("x", 2*maxHeldResponse))(w, h, body)
+			}
+			return respondOK("yes")(w, h, body)
+		})
+		c := dial(t, newGateway(t, b))
+		c.send("GET /get/hangs", "", "")
+		c.send("GET /get/long", "", "")
+		time.Sleep(time.Second)
+		c.send("GET /get/", "", "")
+		c.expect(504, "")
+		c.expect(504, "")
+		c.expect(200, "yes")
+	})
+}
--- a/dataplane/response.go
+++ b/dataplane/response.go
@@ -58,6 +58,12 @@
 	}
 }
 
+// restIsOverdue reports whether the rest of the body can't be read any more, because the deadline of the request has
+// passed while the response waited for its turn.
+func (resp *response) restIsOverdue(r *request) bool {
+	return resp.rest != nil && !time.Now().Before(r.deadline)
+}
+
 // release returns the connection to the pool, or closes it. It may be called more than once.
 func (resp *response) release() {
 	if resp.releaseConn == nil {
