--- a/process/process.go
+++ b/process/process.go
@@ -76,6 +76,7 @@
 	internalServer *grpc.Server
 	controlServer  *http.Server // nil: the role does not serve control
 	controlAccess  controlAccess
+	leaving        atomic.Bool // set once, when the shutdown begins
 
 	internalListener, controlListener, metricsListener net.Listener // nil: not open
 }
@@ -260,7 +261,7 @@
 		return err
 	}
 	p.controlServer = &http.Server{
-		Handler:           handler,
+		Handler:           p.closeWhenLeaving(handler),
 		ReadHeaderTimeout: controlHeaderTimeout,
 		IdleTimeout:       controlIdleTimeout,
 		ErrorLog:          slog.NewLogLogger(p.log.Handler(), slog.LevelDebug),
@@ -268,6 +269,17 @@
 	return nil
 }
 
+// closeWhenLeaving has the responses of a handler close their connections once the shutdown has
+// begun: callers that keep theirs busy would have a call cut when the server closes.
+func (p *Process) closeWhenLeaving(handler http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if p.leaving.Load() {
+			w.Header().Set("Connection", "close")
+		}
+		handler.ServeHTTP(w, r)
+	})
+}
+
 // closeListeners closes the listeners and the gateway of a process that has not been run.
 func (p *Process) closeListeners() error {
 	var errs []error
--- a/process/process_test.go
+++ b/process/process_test.go
@@ -1,11 +1,16 @@
 package process
 
 import (
+	"bufio"
+	"context"
+	"io"
 	"log/slog"
 	"net"
+	"net/http"
 	"os"
 	"strings"
 	"testing"
+	"time"
 
 	"github.com/fxamacker/cbor/v2"
 
@@ -80,3 +85,50 @@
 		closeAtEnd(t, l)
 	}
 }
+
+// An operator's connection ends with the first response after the shutdown has begun, while the data plane still
+// drains. Calls on kept connections used to go on until the server was closed under one of them.
+func TestShutdownClosesOperatorConnections(t *testing.T) {
+	t.Parallel()
+	m := newMachine(t)
+	p := m.newProcess()
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan error, 1)
+	go func() { ended <- p.Run(ctx) }()
+	c, err := net.Dial("tcp", m.control)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeAtEnd(t, c)
+	in := bufio.NewReader(c)
+	getStatus := func() *http.Response {
+		t.Helper()
+		if _, err := io.WriteString(c, "GET /v1/Status HTTP/1.1\r\nHost: h\r\n\r\n"); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(resp.Body); err != nil {
+			t.Fatal(err)
+		}
+		return resp
+	}
+	if getStatus().Close {
+		t.Error("a response before the shutdown closes the connection")
+	}
+	cancel()
+	for end := time.Now().Add(hangTimeout); !p.leaving.Load(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("the shutdown does not begin")
+		}
+	}
+	if !getStatus().Close {
+		t.Error("a response during the shutdown keeps the connection")
+	}
+	if err := <-ended; err != nil {
+		t.Error(err)
+	}
+}
--- a/process/run.go
+++ b/process/run.go
@@ -33,6 +33,7 @@
 	leaveDone := make(chan struct{})
 	cancelLeave := context.AfterFunc(ctx, func() {
 		defer close(leaveDone)
+		p.leaving.Store(true)
 		p.leave(background)
 	})
 	defer cancelLeave()
