--- a/dataplane/clientconn_test.go
+++ b/dataplane/clientconn_test.go
@@ -482,3 +482,26 @@
 		c.expect(200, "yes")
 	})
 }
+
+// The deadline for writing a response does not hold for the interim response to a later request: a client that waits
+// for it would never send its body.
+func TestContinueIsSentLongAfterTheLastResponse(t *testing.T) {
+	t.Parallel()
+	inFakeTime(t, func(t testing.TB) {
+		g := newGateway(t, newBackend(t, respondOK("yes")))
+		g.listener.writeTimeout = time.Second
+		c := dial(t, g)
+		c.send("GET /get/", "", "")
+		c.expect(200, "yes")
+		time.Sleep(2 * time.Second)
+		c.send("POST /once/", "Content-Length: 4\r\nExpect: 100-continue\r\n", "")
+		if line, err := c.in.ReadString('\n'); err != nil || line != "HTTP/1.1 100 Continue\r\n" {
+			t.Fatalf("%q, %v", line, err)
+		}
+		write(c, "body")
+		if line, err := c.in.ReadString('\n'); err != nil || line != "\r\n" {
+			t.Errorf("end of the interim response: %q, %v", line, err)
+		}
+		c.expect(200, "yes")
+	})
+}
--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -61,7 +61,7 @@
 	if framing > s.maxBody {
 		return refuseMalformed(413, "the body is too long")
 	}
-	c.sendContinue(r.head, turn)
+	c.sendContinue(r, turn)
 	c.setReadDeadline(r.deadline)
 	return r.readBody(h1.NewBody(c.in, framing), framing)
 }
@@ -130,9 +130,10 @@
 }
 
 // sendContinue sends 100 Continue to a client that expects it, after all earlier responses.
-func (c *clientConn) sendContinue(head *h1.Head, turn <-chan struct{}) {
-	if head.HasToken("Expect", "100-continue") && !head.HTTP10 && c.in.Buffered() == 0 {
+func (c *clientConn) sendContinue(r *request, turn <-chan struct{}) {
+	if r.head.HasToken("Expect", "100-continue") && !r.head.HTTP10 && c.in.Buffered() == 0 {
 		c.await(turn)
+		_ = c.nc.SetWriteDeadline(r.deadline) // that of an earlier response may have passed
 		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails, reading the body fails too
 	}
 }
