--- a/dataplane/request.go
+++ b/dataplane/request.go
@@ -133,7 +133,7 @@
 func (c *clientConn) sendContinue(r *request, turn <-chan struct{}) {
 	if r.head.HasToken("Expect", "100-continue") && !r.head.HTTP10 && c.in.Buffered() == 0 {
 		c.await(turn)
-		_ = c.nc.SetWriteDeadline(r.deadline) // that of an earlier response may have passed
+		_ = c.nc.SetWriteDeadline(r.deadline)                        // that of an earlier response may have passed
 		_, _ = io.WriteString(c.nc, "HTTP/1.1 100 Continue\r\n\r\n") // if it fails, reading the body fails too
 	}
 }
--- a/lab/checker/connections.go
+++ b/lab/checker/connections.go
@@ -18,6 +18,8 @@
 	DisconnectMs = 500
 	// ContactMs is how long after a disturbance a machine counts as out of touch.
 	ContactMs = 4000
+	// LossSlackMs is how long after it was sent a request may be cut that no server had.
+	LossSlackMs = 200
 	// GraceMs is the time from SIGTERM to SIGKILL.
 	GraceMs = 6000
 	// drainOpenMs: a request that is sent later than this after SIGTERM may be cut at the end of the grace period ...
@@ -43,6 +45,7 @@
 type machineLog struct {
 	disturbed  []span          // kills and freezes, with the time until it is in touch again
 	terminated []time.Duration // when it got SIGTERM
+	reloaded   []time.Duration // when it got SIGHUP
 	started    []time.Duration // when its process was started
 }
 
@@ -64,6 +67,14 @@
 	m.terminated = append(m.terminated, l.clock())
 }
 
+// Reloaded notes that a machine's process gets SIGHUP now.
+func (l *Log) Reloaded(machine string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	m := l.machine(machine)
+	m.reloaded = append(m.reloaded, l.clock())
+}
+
 // machine returns what is noted of a machine. Called under the mutex.
 func (l *Log) machine(name string) *machineLog {
 	m := l.machines[name]
@@ -88,6 +99,22 @@
 	l.sent[id].aborted = l.clock()
 }
 
+// AbortedBehind notes that the limiter ended the connection in the middle of the answer to an earlier attempt.
+func (l *Log) AbortedBehind(id, first string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	a := l.sent[id]
+	a.aborted, a.behind = l.clock(), first
+}
+
+// Unread notes that an attempt was sent behind an answer that closes the connection: it counts as not received, and its
+// client sends it again.
+func (l *Log) Unread(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sent[id].unread = true
+}
+
 // ServerFailed notes that a server broke off, or never answers, an attempt: what becomes of it is not the limiter's
 // fault.
 func (l *Log) ServerFailed(id string) {
@@ -124,8 +151,9 @@
 	LongRuns    int // repeatable runs that would have lasted past the bound after their clients had left
 	Continued   int // and that did
 	ArrivedLate int // requests that came to a server after that bound
-	Aborted     int // connections that limiters ended without an answer
+	Aborted     int // requests that got no answer as limiters ended their connections
 	Lost        int // of these, requests that a sound server had
+	Unread      int // requests that were sent behind an answer that closes the connection
 	Denied      int // proper requests that got a 4xx of the limiter's own
 }
 
@@ -175,11 +203,19 @@
 	}
 	if l.isLost(id, a) {
 		e.Lost++
-		if l.terminating(a) { // planned work: none may be lost
-			l.violation(ruleLost, "%s (%s) was cut at %.3f s, while %s drained",
+		if l.aroundPlannedWork(a) { // none may be lost
+			l.violation(ruleLost, "%s (%s) was cut at %.3f s, around a signal to %s",
 				id, a.Class.Name, a.aborted.Seconds(), a.Machine)
 		}
 	}
+	if l.isHeldUnread(id, a) {
+		l.violation(ruleLost, "%s (%s) was cut at %.3f s, %d ms after it was sent, around a signal to %s",
+			id, a.Class.Name, a.aborted.Seconds(), (a.aborted - a.at).Milliseconds(), a.Machine)
+	}
+	if a.unread {
+		e.Unread++
+		l.checkUnread(id, a)
+	}
 	if isDenial(a.status) && !l.deniedInSuspension(a) {
 		e.Denied++
 	}
@@ -197,7 +233,10 @@
 
 // isLost reports whether a limiter in touch cut a request that a sound server had. Called under the mutex.
 func (l *Log) isLost(id string, a *Attempt) bool {
-	if a.aborted == 0 || a.serverFailed || len(l.arrivals[id]) == 0 || !l.inTouch(a.Machine, span{a.at, a.aborted}) {
+	if a.aborted == 0 || len(l.arrivals[id]) == 0 {
+		return false
+	}
+	if l.serverBrokeOff(a) || !l.inTouch(a.Machine, span{a.at, a.aborted}) {
 		return false
 	}
 	for _, at := range l.machine(a.Machine).terminated {
@@ -210,14 +249,46 @@
 	return true
 }
 
-// terminating reports whether an attempt was cut between SIGTERM and 1 s after the grace period. Called under the
-// mutex.
-func (l *Log) terminating(a *Attempt) bool {
-	for _, at := range l.machine(a.Machine).terminated {
+// isHeldUnread reports whether a limiter in touch cut a request around planned work that no server had, later than
+// LossSlackMs after it was sent. Called under the mutex.
+func (l *Log) isHeldUnread(id string, a *Attempt) bool {
+	return a.aborted-a.at > LossSlackMs*time.Millisecond && len(l.arrivals[id]) == 0 && !l.serverBrokeOff(a) &&
+		l.aroundPlannedWork(a) && l.inTouch(a.Machine, span{a.at, a.aborted})
+}
+
+// serverBrokeOff reports whether a server broke off the answer to an attempt, or to the one in the middle of whose
+// answer its connection ended. Called under the mutex.
+func (l *Log) serverBrokeOff(a *Attempt) bool {
+	return a.serverFailed || a.behind != "" && l.sent[a.behind].serverFailed
+}
+
+// checkUnread checks that no server had what counts as not received. Called under the mutex.
+func (l *Log) checkUnread(id string, a *Attempt) {
+	if len(l.arrivals[id]) == 0 {
+		return
+	}
+	rule := ruleLost
+	if !a.Class.Idempotent() { // its client sends it again
+		rule = ruleTwice
+	}
+	l.violation(rule, "%s (%s) came to a server, though it was sent behind the last answer of its connection to %s",
+		id, a.Class.Name, a.Machine)
+}
+
+// aroundPlannedWork reports whether an attempt was cut between SIGTERM and 1 s after the grace period, or after a
+// SIGHUP that came up to ConfigApplyMs before it was sent. Called under the mutex.
+func (l *Log) aroundPlannedWork(a *Attempt) bool {
+	m := l.machine(a.Machine)
+	for _, at := range m.terminated {
 		if since := a.aborted - at; since >= 0 && since <= drainWindowMs*time.Millisecond {
 			return true
 		}
 	}
+	for _, at := range m.reloaded {
+		if a.aborted >= at && a.at <= at+ConfigApplyMs*time.Millisecond {
+			return true
+		}
+	}
 	return false
 }
 
--- a/lab/checker/connections_test.go
+++ b/lab/checker/connections_test.go
@@ -102,9 +102,18 @@
 			d.at(-5000, func() { d.Terminated("m") })
 			d.abortSentAt(-1500, 1)
 		}, ruleLost},
-		"a few proper requests denied":  {func(d *day) { d.deny(5, 404) }, ""},
-		"many proper requests denied":   {func(d *day) { d.deny(6, 404) }, ruleDenied},
-		"many requests over their rate": {func(d *day) { d.deny(6, 429) }, ""},
+		"cut after a SIGHUP":                 {func(d *day) { d.Reloaded("m"); d.abort(1) }, ruleLost},
+		"cut a second after it was sent":     {func(d *day) { d.Terminated("m"); d.hold(1000) }, ruleLost},
+		"cut as soon as it was sent":         {func(d *day) { d.Terminated("m"); d.hold(LossSlackMs) }, ""},
+		"cut so with no signal near":         {func(d *day) { d.hold(1000) }, ""},
+		"behind a closing answer":            {func(d *day) { d.unread(lookup, false) }, ""},
+		"behind it, and passed on":           {func(d *day) { d.unread(lookup, true) }, ruleLost},
+		"behind it, and run":                 {func(d *day) { d.unread(once, true) }, ruleTwice},
+		"behind an answer that breaks off":   {func(d *day) { d.Terminated("m"); d.behind(false) }, ruleLost},
+		"behind one that a server broke off": {func(d *day) { d.Terminated("m"); d.behind(true) }, ""},
+		"a few proper requests denied":       {func(d *day) { d.deny(5, 404) }, ""},
+		"many proper requests denied":        {func(d *day) { d.deny(6, 404) }, ruleDenied},
+		"many requests over their rate":      {func(d *day) { d.deny(6, 429) }, ""},
 	} {
 		d := newDay()
 		c.play(d)
@@ -116,6 +125,38 @@
 	}
 }
 
+// hold has a limiter end a connection so many milliseconds after an attempt was sent that has come to no server.
+func (d *day) hold(ms int) {
+	d.at(0, func() { d.Sent("held", &Attempt{Class: lookup, Machine: "m"}) })
+	d.at(ms, func() { d.Aborted("held") })
+}
+
+// unread has an attempt be sent behind a closing answer, and come to a server nevertheless.
+func (d *day) unread(class *scenario.Class, arrives bool) {
+	d.at(0, func() { d.Sent("unread", &Attempt{Class: class, Machine: "m"}) })
+	if arrives {
+		d.Arrived("unread", class.Service, "s")
+	}
+	d.at(100, func() { d.Unread("unread") })
+}
+
+// behind has a connection end in the middle of an answer, with another attempt behind it that a server has.
+func (d *day) behind(serverFailed bool) {
+	for _, id := range []string{"first", "second"} {
+		d.at(0, func() {
+			d.Sent(id, &Attempt{Class: lookup, Machine: "m"})
+			d.Arrived(id, lookup.Service, "s")
+		})
+	}
+	if serverFailed {
+		d.ServerFailed("first")
+	}
+	d.at(100, func() {
+		d.Aborted("first")
+		d.AbortedBehind("second", "first")
+	})
+}
+
 // failed has the servers of the first attempts that were cut be the ones that broke off.
 func failed(d *day, attempts int) {
 	for i := range attempts {
--- a/lab/checker/log.go
+++ b/lab/checker/log.go
@@ -95,6 +95,8 @@
 	status       int           // 0: no answer
 	left         time.Duration // when its client left without an answer; 0: it did not
 	aborted      time.Duration // when the limiter ended the connection without an answer; 0: it did not
+	behind       string        // the attempt in the middle of whose answer the connection ended; empty: none
+	unread       bool          // it was sent behind an answer that closes the connection
 	serverFailed bool          // a server broke it off, or never answered
 }
 
--- a/lab/checker/report.go
+++ b/lab/checker/report.go
@@ -238,8 +238,8 @@
 	fmt.Fprintf(&b, "served %.4f of what was within the quotas, %.4f in its aim\n", r.Served(), r.InTarget())
 	e := r.Ends
 	fmt.Fprintf(&b, "%d clients left, %d of %d lasting runs went on, %d came late; "+
-		"%d connections cut, %d lost; %d denied\n",
-		e.Left, e.Continued, e.LongRuns, e.ArrivedLate, e.Aborted, e.Lost, e.Denied)
+		"%d requests cut, %d lost, %d behind closing answers; %d denied\n",
+		e.Left, e.Continued, e.LongRuns, e.ArrivedLate, e.Aborted, e.Lost, e.Unread, e.Denied)
 	if u, limited := r.NearestQuota(); limited {
 		fmt.Fprintf(&b, "nearest to its quota: %s, %d of %.0f in %v s up to %.1f s; %s\n",
 			u.Tenant, u.Ran, u.Allowed, QuotaWindowS, u.EndS, u.Detail)
--- a/lab/emulator/client.go
+++ b/lab/emulator/client.go
@@ -102,9 +102,12 @@
 type attemptEvents interface {
 	sent(id, target, key string, body []byte)
 	answered(id string, status int, seal string, got []byte)
-	left(id string)         // the client closes its connection without an answer
-	unended(id string)      // it has waited for the end of an answer that lasts until the connection ends
-	aborted(id string)      // the limiter ended the connection without one
+	left(id string)    // the client closes its connection without an answer
+	unended(id string) // it has waited for the end of an answer that lasts until the connection ends
+	aborted(id string) // the limiter ended the connection without one
+	// abortedBehind: as aborted, as the answer to the first of the unanswered requests broke off.
+	abortedBehind(id, first string)
+	unread(id string)       // it was sent behind an answer that closes the connection
 	arrived(id string) bool // whether a server had it
 }
 
@@ -222,7 +225,11 @@
 		return nil, nil, err
 	}
 	head, answer, err := conn.readAnswer()
-	if err == nil && pipelines && !head.ClosesConnection() {
+	switch {
+	case err != nil || !pipelines:
+	case head.ClosesConnection():
+		r.events.unread(second)
+	default:
 		conn.closes = !c.readSecond(conn, r, second)
 	}
 	return head, answer, err
--- a/lab/emulator/faults.go
+++ b/lab/emulator/faults.go
@@ -16,6 +16,7 @@
 	minShare    = 0.03
 	minSlowdown = 2.0
 	minHot      = 2.0
+	minWindow   = 2 // requests that a pipelining client keeps unanswered
 
 	minQuotaFactor = 0.02 // of a tenant's first limit
 	minFlapS       = 0.2
@@ -113,6 +114,9 @@
 	scenario.ChangeQuota: func(day *scenario.Day, s *scenario.Fault) fault {
 		return changeQuota{tenantOf(day, s), max(minQuotaFactor, s.Factor)}
 	},
+	scenario.PipeliningClients: func(_ *scenario.Day, s *scenario.Fault) fault {
+		return pipelineClients{count(s), max(minWindow, int(s.Factor)), duration(s)}
+	},
 	scenario.LeavingClients: func(_ *scenario.Day, s *scenario.Fault) fault {
 		return leavingClients{max(minShare, s.Factor), duration(s)}
 	},
@@ -181,6 +185,7 @@
 // Inject implements fault.
 func (r reloadNodes) Inject(_ context.Context, f *Fleet) {
 	for _, n := range f.someNodes(r.count) {
+		f.log.Reloaded(n.front)
 		n.signal(syscall.SIGHUP)
 	}
 }
--- a/lab/emulator/fleet.go
+++ b/lab/emulator/fleet.go
@@ -46,7 +46,9 @@
 	ports    ports
 	rollout  *rollout     // nil: the machines keep the build that they began with
 	exits    atomic.Int64 // of processes, by themselves
-	servers  atomic.Int64 // that were started
+	// pipeliners is how many clients have kept many requests unanswered so far.
+	pipeliners atomic.Int64
+	servers    atomic.Int64 // that were started
 
 	rngMu sync.Mutex
 	rng   *rand.Rand
--- a/lab/emulator/load.go
+++ b/lab/emulator/load.go
@@ -100,6 +100,14 @@
 	return a
 }
 
+// nextSequence returns the number of the next request.
+func (l *load) nextSequence() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.sequence++
+	return l.sequence
+}
+
 // setLeaving has a share of the clients leave before they are answered.
 func (l *load) setLeaving(share float64) {
 	l.mu.Lock()
@@ -194,7 +202,9 @@
 	e.log.Answered(id, status, seal, got)
 }
 
-func (e *loggedAttempts) left(id string)         { e.log.Left(id) }
-func (e *loggedAttempts) unended(id string)      { e.log.Unended(id) }
-func (e *loggedAttempts) aborted(id string)      { e.log.Aborted(id) }
-func (e *loggedAttempts) arrived(id string) bool { return e.log.HasArrived(id) }
+func (e *loggedAttempts) left(id string)                 { e.log.Left(id) }
+func (e *loggedAttempts) unended(id string)              { e.log.Unended(id) }
+func (e *loggedAttempts) aborted(id string)              { e.log.Aborted(id) }
+func (e *loggedAttempts) abortedBehind(id, first string) { e.log.AbortedBehind(id, first) }
+func (e *loggedAttempts) unread(id string)               { e.log.Unread(id) }
+func (e *loggedAttempts) arrived(id string) bool         { return e.log.HasArrived(id) }
--- a/lab/scenario/fault.go
+++ b/lab/scenario/fault.go
@@ -55,11 +55,14 @@
 const (
 	// LeavingClients: a share Factor of the clients leaves within half of the latency target.
 	LeavingClients FaultKind = "give_up"
-	HotTenant      FaultKind = "hot_tenant" // a tenant sends Factor times its usual
-	ChangeQuota    FaultKind = "quota"      // a tenant's limit is from now on Factor times its first
-	ChangeConfig   FaultKind = "config"     // another configuration is brought
-	InvalidConfig  FaultKind = "bad_config" // configurations are brought that must be rejected
-	RevokeKey      FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
+	// PipeliningClients: Count clients keep up to Factor requests unanswered on a connection each, for ForS.
+	PipeliningClients FaultKind = "pipeline"
+
+	HotTenant     FaultKind = "hot_tenant" // a tenant sends Factor times its usual
+	ChangeQuota   FaultKind = "quota"      // a tenant's limit is from now on Factor times its first
+	ChangeConfig  FaultKind = "config"     // another configuration is brought
+	InvalidConfig FaultKind = "bad_config" // configurations are brought that must be rejected
+	RevokeKey     FaultKind = "revoke"     // the last tenant changes its key, and the old one is revoked
 	// ExtremeConfig: a valid configuration is brought whose added routes and request limits hold the highest numbers.
 	ExtremeConfig FaultKind = "extreme_config"
 	// EmptyTenants: all tenants are taken away, and brought back after ForS. No request may pass meanwhile.
@@ -108,6 +111,7 @@
 	UnreachableZone:   {simulation: true},
 	SlowZone:          {simulation: true},
 	LeavingClients:    {emulator: true},
+	PipeliningClients: {emulator: true},
 	HotTenant:         {emulator: true, simulation: true},
 	ChangeQuota:       {emulator: true},
 	ChangeConfig:      {emulator: true},
--- a/lab/soak/day.go
+++ b/lab/soak/day.go
@@ -59,6 +59,10 @@
 			Name: "lookup", Service: "search", Type: "idempotent", PerS: perS * 0.6, WorkMs: 60,
 			TargetMs: 1000, DeadlineMs: 3000, AnswerBytes: 800,
 		},
+		{
+			Name: "report", Service: "search", Type: "idempotent", PerS: perS * 0.01, WorkMs: 700,
+			TargetMs: 2000, DeadlineMs: 4000, AnswerBytes: 800,
+		},
 		{
 			Name: "extract", Service: "search", Type: "download", PerS: perS * 0.15, WorkMs: 60,
 			TargetMs: 1500, DeadlineMs: 4000, AnswerBytes: 90_000,
@@ -91,7 +95,8 @@
 	}}
 	parts := []func(*rand.Rand, *scenario.Day) []scenario.Fault{
 		restarts, reloads, changes, badServers, lostProcesses, herdKills, throttled, quotaChanges, hotTenants,
-		unframedFailures, extremeConfigs, emptiedTenants, // last, so that the draws of seeds before stay as they were
+		unframedFailures, extremeConfigs, emptiedTenants,
+		pipeliningClients, // last, so that the draws of seeds before stay as they were
 	}
 	for _, part := range parts {
 		faults = append(faults, part(rng, day)...)
@@ -245,6 +250,23 @@
 	return []scenario.Fault{{Kind: scenario.EmptyTenants, AtS: begin(rng, day) / 2, ForS: 2 + 5*rng.Float64()}}
 }
 
+// pipeliningClients has clients keep many requests unanswered on their connections for most of the day, on two of three
+// days: some fewer than a limiter forwards at once, some more. Machines restart while they do.
+func pipeliningClients(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
+	if rng.IntN(3) == 0 {
+		return nil
+	}
+	machines := day.PerZone * Zones
+	clients := scenario.Fault{
+		Kind: scenario.PipeliningClients, AtS: firstFaultS, ForS: day.LengthS * (0.6 + 0.3*rng.Float64()),
+		Count: machines/2 + rng.IntN(machines), Factor: float64(2 + rng.IntN(30)),
+	}
+	faults := series(rng, day, 1+rng.IntN(3), 3, func() scenario.Fault {
+		return scenario.Fault{Kind: scenario.RestartNodes, Count: 2 * some(rng, day), ForS: 0.2 + rng.Float64()}
+	})
+	return append(faults, clients)
+}
+
 // throttled has machines spend their processor time early in each tenth of a second, on half of the days.
 func throttled(rng *rand.Rand, day *scenario.Day) []scenario.Fault {
 	if rng.IntN(2) == 0 {
--- a/lab/soak/day_test.go
+++ b/lab/soak/day_test.go
@@ -92,3 +92,31 @@
 		t.Errorf("on %d of %d days two tenants ask for more than their limits", days, seeds)
 	}
 }
+
+// On many days clients keep more requests unanswered than a limiter forwards at once while machines restart: only then
+// does a drain have to end the reading of a connection.
+func TestPipeliningClientsMeetRestarts(t *testing.T) {
+	const (
+		seeds           = 200
+		forwardedAtOnce = 8 // requests of one connection
+	)
+	days := 0
+	for seed := range uint64(seeds) {
+		var clients scenario.Fault
+		met := false
+		for _, f := range Day(seed, shape).Faults {
+			switch {
+			case f.Kind == scenario.PipeliningClients && f.Factor > forwardedAtOnce:
+				clients = f
+			case f.Kind == scenario.RestartNodes && f.AtS < clients.AtS+clients.ForS:
+				met = true
+			}
+		}
+		if met {
+			days++
+		}
+	}
+	if days < seeds/3 {
+		t.Errorf("on %d of %d days clients with many unanswered requests meet restarts", days, seeds)
+	}
+}
