Data plane: writing the responses of a connection in a file of its own

Moves only: clientanswer.go has what answers requests, and its tests; clientconn.go what reads them.

--- a/dataplane/doc.go
+++ b/dataplane/doc.go
@@ -8,7 +8,8 @@
 // A Gateway is composed of these types:
 //
 //	clientListener  accepts connections and drains them (listener.go, drain.go)
-//	clientConn      a client connection: reads requests, writes responses in order (clientconn.go, request.go)
+//	clientConn      a client connection: reads requests, writes responses in order (clientconn.go, request.go,
+//	                clientanswer.go)
 //	connProgress    which response of a connection is the last, and announces its end (connprogress.go)
 //	router          the current configuration, an immutable snapshot replaced atomically (router.go, snapshot.go)
 //	forwarder       the lifecycle of a request: attempts, retries, hedges (forwarder.go, lifecycle.go, roundtrip.go)
