Emulator: take a key away when all that was sent with it is over

Cause: the operator took a tenant's old key away 3 s after its clients had changed to the new one, though clients wait for up to 4 s. A request that waits its turn behind others on its connection was then read without a valid key, and its 401 counted as wrong (DENIED).

The check stays as it is.

--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -314,7 +314,7 @@
 	old := o.keyInUse[tenant]
 	o.keyInUse[tenant] = next
 	o.mu.Unlock()
-	if !backoff.Sleep(ctx, checker.ConfigApplyMs*time.Millisecond) { // what was sent with the old one has come
+	if !backoff.Sleep(ctx, max(checker.ConfigApplyMs*time.Millisecond, o.longestDeadline())) { // what was sent with the old one is over
 		return
 	}
 	o.mu.Lock()
@@ -326,6 +326,15 @@
 	}
 }
 
+// longestDeadline is how long a client waits for an answer at most.
+func (o *operator) longestDeadline() time.Duration {
+	longest := 0.0
+	for i := range o.fleet.spec.Classes {
+		longest = max(longest, o.fleet.spec.Classes[i].DeadlineMs)
+	}
+	return time.Duration(longest * float64(time.Millisecond))
+}
+
 // readBack asks for the newest version and compares it with what was acknowledged.
 func (o *operator) readBack(ctx context.Context) {
 	o.bringing.Lock()
