--- a/lab/emulator/operator.go
+++ b/lab/emulator/operator.go
@@ -314,7 +314,8 @@
 	old := o.keyInUse[tenant]
 	o.keyInUse[tenant] = next
 	o.mu.Unlock()
-	if !backoff.Sleep(ctx, max(checker.ConfigApplyMs*time.Millisecond, o.longestDeadline())) { // what was sent with the old one is over
+	// What was sent with the old one is over by then.
+	if !backoff.Sleep(ctx, max(checker.ConfigApplyMs*time.Millisecond, o.longestDeadline())) {
 		return
 	}
 	o.mu.Lock()
